--- a/dappleshunt/__init__.py
+++ b/elderstall/__init__.py
@@ -1,5 +1,5 @@
 """Decisions of a dispatcher that pushes jobs to workers."""
 
-from dappleshunt.brain import Dispatcher
+from elderstall.choice import Dispatcher
 
 __all__ = ["Dispatcher"]
--- a/dappleshunt/brain.py
+++ b/elderstall/choice.py
@@ -14,9 +14,9 @@
 from typing import Any
 from zlib import crc32
 
-from dappleshunt import interface as i
-from dappleshunt.interface import Effect, Ending, Scope, WorkerState
-from dappleshunt.records import Attempt, Job, Load, Policy, Worker
+from elderstall import interface as i
+from elderstall.interface import Effect, Ending, Scope, WorkerState
+from elderstall.records import Attempt, Job, Load, Policy, Worker
 
 # ---- constants, each with its reason ----
 
--- a/dappleshunt/interface.py
+++ b/elderstall/interface.py
@@ -1,7 +1,7 @@
 """What a dispatcher is told and what it asks for: settings, events and actions.
 
 Times are milliseconds. Clock readings start anywhere and only grow. Work is measured as running
-time on a standard core. Every record is plain data; all decisions are in ``brain.py``.
+time on a standard core. Every record is plain data; all decisions are in ``choice.py``.
 """
 
 from __future__ import annotations
--- a/dappleshunt/records.py
+++ b/elderstall/records.py
@@ -1,4 +1,4 @@
-"""Records that the decisions of ``brain.py`` are written in; plain data, no decisions."""
+"""Records that the decisions of ``choice.py`` are written in; plain data, no decisions."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from dappleshunt import interface as i
+from elderstall import interface as i
 
 
 @dataclass(slots=True, frozen=True)
--- /dev/null
+++ b/elderstall/settings.py
@@ -0,0 +1,41 @@
+"""The settings of a dispatcher, as the simulator and the program's configuration word them."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from elderstall import interface as i
+
+Fields = dict[str, Any]
+
+
+def settings_of(conf: Fields) -> i.Settings:
+    """Build the settings from the wire's; keys that are not known here are ignored."""
+    rules, limits = conf.get("rules") or {}, conf.get("limits") or {}
+    extras, fees = conf.get("specifics") or {}, conf.get("fees") or {}
+    kinds, fields = conf.get("skus") or [], (conf.get("load_report") or {}).get("fields") or []
+    bound, stretches = extras.get("class_kind") or [], extras.get("class_stretch") or []
+    classes = []
+    for n, c in enumerate(conf["classes"]):
+        kind = bound[n] if n < len(bound) else -1
+        stretch = stretches[n] if n < len(stretches) else c.get("aim_stretch") or 0.0
+        classes.append(i.JobClass(
+            name=c["name"], worth=c["points"], aim=c["aim"], deadline=c["deadline"],
+            effect=i.Effect(c["effect"]), scope=i.Scope(c.get("key_scope") or "all"),
+            memory_span=c.get("memory_span") or 0.0, stretch=stretch, late_share=c.get("late_share") or 0.0,
+            kind=kinds[kind] if 0 <= kind < len(kinds) else None, streamed=bool(c.get("streamed"))))
+    free = next((f for f in ("x0", "x1") if f in fields and extras.get(f"report_{f}") == "free slots"), None)
+    return i.Settings(
+        classes=tuple(classes),
+        tenants=tuple(i.Tenant(p["name"], p["quota_per_s"]) for p in conf.get("projects") or ()),
+        dispatchers=conf["balancers"], rank=conf.get("rank") or 0, zone=conf.get("locality"),
+        over_share_worth=conf.get("over_share_worth", 1.0), by_work=conf.get("counted_by") == "work",
+        must_follow=conf.get("discovery") == "subscribe", ask_within=rules.get("ask_within") or 10_000.0,
+        cold_share=rules.get("cold_share") or 1.0, cold_for=rules.get("cold") or 0.0,
+        push_multiple=rules.get("fall_multiple") or 3.0, push_window=rules.get("overload_for") or 2_000.0,
+        max_attempts=limits.get("max_attempts") or 1,
+        cpu_us_per_s=limits.get("cpu_us_per_s") or 0.0,
+        cpu_us_per_job=limits.get("cpu_us_per_request") or 0.0,
+        connect_timeout=limits.get("connect_timeout") or 0.0, tells_start=bool(extras.get("tells_start")),
+        report_free_slots=fields.index(free) if free else None, tick=conf.get("tick") or 1.0,
+        crossing_price=fees.get("cross_zone") or 0.0, fetch_price=fees.get("origin") or 0.0)
--- a/tests/driver.py
+++ b/tests/driver.py
@@ -5,8 +5,8 @@
 import random
 from dataclasses import dataclass, field
 
-from dappleshunt import Dispatcher
-from dappleshunt import interface as i
+from elderstall import Dispatcher
+from elderstall import interface as i
 
 SAFE = i.JobClass("safe", 1.0, 100.0, 2_000.0, stretch=2.0)
 KEYED = i.JobClass("keyed", 3.0, 300.0, 3_000.0, i.Effect.KEYED, i.Scope.CELL, 1_500.0, 2.0, 0.3)
--- a/tests/test_simhost.py
+++ b/tests/test_benchlink.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from dappleshunt.simhost import Host, WireError
+from elderstall.benchlink import Host, WireError
 
 CONF: dict[str, Any] = {
     "balancers": 2, "locality": "a", "surprise": 1, "discovery": "subscribe",
@@ -62,15 +62,15 @@
 
 
 def test_the_process_ends_with_a_plain_message() -> None:
-    run = subprocess.run([sys.executable, "-m", "dappleshunt.simhost"], input='{"m":"Nope"}\n', text=True,
+    run = subprocess.run([sys.executable, "-m", "elderstall.benchlink"], input='{"m":"Nope"}\n', text=True,
                          capture_output=True, check=False)
     assert run.returncode != 0
     assert run.stdout == ""
-    assert run.stderr.strip() == "simhost: unknown event: 'Nope'"
+    assert run.stderr.strip() == "benchlink: unknown event: 'Nope'"
 
 
 def test_the_process_ends_quietly_with_its_input() -> None:
     text = "".join(json.dumps(m) + "\n" for m in [*START, REQUEST, DONE])
-    run = subprocess.run([sys.executable, "-m", "dappleshunt.simhost"], input=text, text=True,
+    run = subprocess.run([sys.executable, "-m", "elderstall.benchlink"], input=text, text=True,
                          capture_output=True, check=False)
     assert (run.returncode, run.stderr) == (0, "")
--- a/tests/test_crowding.py
+++ b/tests/test_crowding.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dappleshunt import interface as i
+from elderstall import interface as i
 from tests.driver import SAFE, UNSAFE, Driver, fleet, settings
 from tests.test_mechanism import sends
 
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -5,8 +5,8 @@
 from collections import defaultdict
 from dataclasses import replace
 
-from dappleshunt import Dispatcher
-from dappleshunt import interface as i
+from elderstall import Dispatcher
+from elderstall import interface as i
 from tests.driver import SAFE, Driver, fleet, settings
 from tests.test_mechanism import sends, serve_all
 
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from dappleshunt import Dispatcher
-from dappleshunt import interface as i
+from elderstall import Dispatcher
+from elderstall import interface as i
 from tests.driver import SAFE, UNSAFE, Driver, fleet, settings
 
 
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -5,8 +5,8 @@
 import random
 from collections import Counter
 
-from dappleshunt import Dispatcher
-from dappleshunt import interface as i
+from elderstall import Dispatcher
+from elderstall import interface as i
 from tests.driver import KEYED, SAFE, Driver, fleet, settings
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -7,7 +7,7 @@
 from hypothesis import settings as tune
 from hypothesis import strategies as st
 
-from dappleshunt import interface as i
+from elderstall import interface as i
 from tests.driver import KEYED, KEYED_ALL, SAFE, UNSAFE, Driver, fleet, random_day, settings
 
 
--- a/tests/test_solver.py
+++ b/tests/test_solver.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from dappleshunt.brain import climb, flows, legal, pairs, queue, tier_edges, utility
-from dappleshunt.records import Load, Policy
+from elderstall.choice import climb, flows, legal, pairs, queue, tier_edges, utility
+from elderstall.records import Load, Policy
 
 
 def load(rates: tuple[float, ...], workers: int = 6) -> Load:
