--- /dev/null
+++ b/elderstall/__main__.py
@@ -0,0 +1,45 @@
+"""The command line: run a dispatcher, or check its configuration."""
+
+from __future__ import annotations
+
+import argparse
+import os
+import signal
+import sys
+from typing import Any
+
+from twisted.internet import reactor
+
+from elderstall.app import App
+from elderstall.config import ConfigError, load
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run the command given; without one, a dispatcher."""
+    parser = argparse.ArgumentParser(prog="elderstall", description="A job dispatcher.")
+    parser.add_argument("command", nargs="?", choices=("run", "check"), default="run",
+                        help="run a dispatcher (default), or check its configuration and stop")
+    parser.add_argument("--config", metavar="FILE", help="the platform's JSON (default: $RELAY_CONFIG)")
+    parser.add_argument("--front", metavar="FILE",
+                        help="an operator's file for the progress front (default: $ELDERSTALL_FRONT)")
+    args = parser.parse_args(argv)
+    try:
+        config = load(args.config, os.environ, args.front)
+    except ConfigError as error:
+        print(f"elderstall: {error}", file=sys.stderr)
+        return 2
+    if args.command == "check":
+        print(f"{config.name}: {len(config.settings.classes)} classes, "
+              f"{len(config.known['endpoints'])} known workers, listens on {config.host}:{config.port}")
+        return 0
+    loop: Any = reactor  # its type is known only at run time
+    app = App(config, loop)
+    app.start()
+    signal.signal(signal.SIGTERM, app.sigterm)
+    signal.signal(signal.SIGINT, app.sigterm)
+    loop.run(installSignalHandlers=False)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/elderstall/app.py
@@ -0,0 +1,94 @@
+"""The program put together: who owns what is told in docs/architecture.md."""
+
+from __future__ import annotations
+
+from typing import Any, cast
+
+from twisted.internet.defer import Deferred
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.protocol import Factory
+
+from elderstall.config import Config, address_of
+from elderstall.core import Core
+from elderstall.deadlines import Deadlines
+from elderstall.log import Log
+from elderstall.net.discovery import Discovery, WatchConnection
+from elderstall.net.server import Server
+from elderstall.net.workers import WorkerConnection, Workers
+
+SERVE_FOR = 700.0  # ms after SIGTERM for which new jobs are still taken
+LOOK_EVERY = 50.0  # ms between looks whether all is answered
+DISCOVERY_CONNECT = 2.0  # s
+BACKLOG = 1024
+
+
+class App:
+    """One dispatcher on real sockets."""
+
+    def __init__(self, config: Config, reactor: Any) -> None:
+        self.config, self.reactor = config, reactor
+        self.deadlines = Deadlines(reactor)
+        self.log = Log(self.deadlines.now)
+        self.deadlines.failed = lambda error: self.log.failure("deadline", error)
+        self.workers = Workers(
+            self.deadlines, self.connect_worker, self.log, config.report_fields, config.idle_ms,
+            config.worker_connections)
+        self.core = Core(config.settings, config.seed, self.deadlines, self.workers, self.log,
+                         config.slack_ms, config.max_open)
+        self.discovery = Discovery(self.deadlines, self.log, self.connect_discovery, self.workers,
+                                   self.core.listed, config.discovery, config.live_weights)
+        self.core.follow = self.discovery.follow
+        self.server = Server(self.core, self.deadlines, self.log, self.workers.report_of,
+                             config.client_hard, config.client_soft)
+        self.port: Any = None
+        self.stopping = False
+
+    def connect_worker(self, address: str, factory: Factory) -> Deferred[WorkerConnection]:
+        """Open a connection to a worker within the settings' time."""
+        host, port = address_of(address, "address")
+        endpoint: Any = TCP4ClientEndpoint(self.reactor, host, port, timeout=self.config.connect_ms / 1000)
+        return cast("Deferred[WorkerConnection]", endpoint.connect(factory))
+
+    def connect_discovery(self, factory: Factory) -> Deferred[WatchConnection]:
+        """Open a connection to discovery."""
+        host, port = address_of(self.config.discovery, "discovery")
+        endpoint: Any = TCP4ClientEndpoint(self.reactor, host, port, timeout=DISCOVERY_CONNECT)
+        return cast("Deferred[WatchConnection]", endpoint.connect(factory))
+
+    def start(self) -> None:
+        """Take the known list, then listen: from the first ``/up`` on clients may come."""
+        _, entries = self.discovery.take(self.config.known)
+        self.core.start(entries)
+        self.port = self.reactor.listenTCP(
+            self.config.port, self.server, backlog=BACKLOG, interface=self.config.host)
+        self.server.accept = lambda on: self.port.startReading() if on else self.port.stopReading()
+        host = self.port.getHost()
+        self.log.write("start", f"{self.config.name} listens on {host.host}:{host.port}")
+
+    def sigterm(self, *_: object) -> None:
+        """Begin the planned end: from a signal handler, so the reactor's own turn does it."""
+        self.reactor.callFromThread(self.drain)
+
+    def drain(self) -> None:
+        """Serve on a little, then refuse new jobs, and end once all that was taken is answered."""
+        if self.stopping:
+            return
+        self.stopping = True
+        self.log.write("drain", f"{len(self.core.jobs)} jobs are out")
+        self.server.drain()
+        self.deadlines.after(SERVE_FOR, self.refuse)
+
+    def refuse(self) -> None:
+        """Refuse from now on; the listener stays, as workers' call-backs come there."""
+        self.server.refuse()
+        self.look()
+
+    def look(self) -> None:
+        """End once nothing is owed and every client's connection is closed."""
+        if len(self.core.jobs) or not self.server.quiet or any(c.client for c in self.server.connections):
+            self.deadlines.after(LOOK_EVERY, self.look)
+            return
+        self.log.write("exit", "all that was taken is answered")
+        self.discovery.close()
+        self.workers.close()
+        self.reactor.stop()
--- /dev/null
+++ b/elderstall/config.py
@@ -0,0 +1,167 @@
+"""The one place where configuration is read, checked and given defaults; every error names its key."""
+
+from __future__ import annotations
+
+import json
+import tomllib
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from elderstall import interface as i
+from elderstall.net.discovery import ListError, list_of
+from elderstall.settings import settings_of
+
+IDLE_PART = 0.8  # of the workers' conn_idle that our connections stay idle: clearly earlier
+OWN_PART = 16  # one descriptor in so many, and 16 at least, is for the program itself
+WORKER_PART = 0.3  # of the others are for connections to workers
+SOFT_PART = 0.8  # of the clients' descriptors are used before connections are shed
+MIN_SOCKETS = 64
+
+
+class ConfigError(Exception):
+    """Configuration that cannot be used; the message begins with the key."""
+
+
+@dataclass(frozen=True)
+class Progress:
+    """The front with server-sent events, as an operator's file sets it up."""
+
+    enabled: bool = False
+    retry_ms: int = 1_000  # told to clients in the stream
+    remember: int = 4_096  # ids of begun streams, so that a reconnect does not run a job again
+    coalesce_bytes: int = 16_384  # unread bytes of a slow client from which progress is coalesced
+
+
+@dataclass(frozen=True)
+class Config:
+    """Everything the program is told at its start."""
+
+    name: str
+    host: str
+    port: int
+    discovery: str
+    seed: int
+    settings: i.Settings
+    known: Any
+    live_weights: bool
+    report_fields: tuple[str, ...]
+    slack_ms: float
+    idle_ms: float
+    connect_ms: float
+    max_open: int
+    worker_connections: int
+    client_soft: int
+    client_hard: int
+    progress: Progress = Progress()
+
+
+def address_of(text: Any, key: str) -> tuple[str, int]:
+    """Read ``host:port``."""
+    host, colon, port = str(text).rpartition(":")
+    if not isinstance(text, str) or not colon or not host or not port.isdigit() or not int(port) < 65536:
+        raise ConfigError(f"{key}: {text!r} is not host:port")
+    return host.strip("[]"), int(port)
+
+
+def number(at: Mapping[str, Any], name: str, default: float, key: str, least: float = 0.0) -> float:
+    """Read a number that is at least so much."""
+    value = at.get(name)
+    if value is None:
+        return default
+    if isinstance(value, bool) or not isinstance(value, int | float) or not least <= value < 1e15:
+        raise ConfigError(f"{key}.{name}: {value!r} is no number from {least:g}")
+    return float(value)
+
+
+def table(at: Mapping[str, Any], name: str, key: str = "") -> Mapping[str, Any]:
+    """Read a part that may be missing."""
+    value = at.get(name)
+    if value is not None and not isinstance(value, dict):
+        raise ConfigError(f"{key}{name}: must be an object")
+    return value or {}
+
+
+def progress_of(path: str | None) -> Progress:
+    """Read the operator's file of the second front; with none it is off."""
+    if not path:
+        return Progress()
+    try:
+        raw = tomllib.loads(Path(path).read_text(encoding="utf-8"))
+    except (OSError, ValueError) as error:
+        raise ConfigError(f"front: {path}: {error}") from None
+    part = table(raw, "progress", "front.")
+    known = ("enabled", "retry_ms", "remember", "coalesce_bytes")
+    for name in [*(n for n in raw if n != "progress"), *(f"progress.{n}" for n in part if n not in known)]:
+        raise ConfigError(f"front.{name}: unknown key")
+    enabled = part.get("enabled", False)
+    if not isinstance(enabled, bool):
+        raise ConfigError(f"front.progress.enabled: {enabled!r} is not true or false")
+    base = Progress()
+    figures = {name: int(number(part, name, getattr(base, name), "front.progress", 1)) for name in known[1:]}
+    return Progress(enabled, **figures)
+
+
+def config_of(raw: Any, env: Mapping[str, str], front: str | None = None) -> Config:
+    """Check the platform's object; what it lacks may come from the environment."""
+    if not isinstance(raw, dict):
+        raise ConfigError("config: must be an object")
+
+    def told(name: str) -> Any:
+        value = raw.get(name, env.get(f"RELAY_{name.upper()}"))
+        if not value or not isinstance(value, str):
+            raise ConfigError(f"{name}: is missing or no text")
+        return value
+
+    settings_raw = raw.get("settings")
+    if not isinstance(settings_raw, dict):
+        raise ConfigError("settings: is missing or no object")
+    rules, limits = table(settings_raw, "rules", "settings."), table(settings_raw, "limits", "settings.")
+    report = table(settings_raw, "load_report", "settings.")
+    try:
+        settings = settings_of(settings_raw)
+    except KeyError as error:
+        raise ConfigError(f"settings: {error} is missing") from None
+    except (ValueError, TypeError, AttributeError) as error:
+        raise ConfigError(f"settings: {error}") from None
+    live = settings_raw.get("weight_source") == "live"
+    known = raw.get("known") or {"index": 0, "snapshot": True, "endpoints": []}
+    try:
+        list_of(known, live)
+    except ListError as error:
+        raise ConfigError(f"known: {error}") from None
+    host, port = address_of(told("listen"), "listen")
+    address_of(told("discovery"), "discovery")
+    seed = raw.get("seed", "0")
+    try:
+        seed = int(seed, 16) if isinstance(seed, str) else int(seed)
+    except (ValueError, TypeError):
+        raise ConfigError(f"seed: {seed!r} is no hexadecimal number") from None
+    sockets = int(number(table(raw, "limits"), "sockets", 1_024, "limits", MIN_SOCKETS))
+    usable = sockets - max(16, sockets // OWN_PART)
+    workers = int(usable * WORKER_PART)
+    fields = report.get("fields") or []
+    if not isinstance(fields, list) or not all(isinstance(f, str) for f in fields):
+        raise ConfigError("settings.load_report.fields: must be names")
+    return Config(
+        name=told("name"), host=host, port=port, discovery=told("discovery"), seed=seed, settings=settings,
+        known=known, live_weights=live, report_fields=tuple(fields),
+        slack_ms=number(rules, "answer_slack", 0.0, "settings.rules"),
+        idle_ms=number(limits, "conn_idle", 10_000.0, "settings.limits", 1) * IDLE_PART,
+        connect_ms=number(limits, "connect_timeout", 250.0, "settings.limits") or 250.0,
+        max_open=int(number(limits, "max_open", 20_000, "settings.limits", 1)),
+        worker_connections=workers, client_soft=int((usable - workers) * SOFT_PART),
+        client_hard=usable - workers, progress=progress_of(front))
+
+
+def load(path: str | None, env: Mapping[str, str], front: str | None = None) -> Config:
+    """Read the file that the platform names."""
+    path = path or env.get("RELAY_CONFIG")
+    if not path:
+        raise ConfigError("RELAY_CONFIG: is not set, and no --config was given")
+    try:
+        raw = json.loads(Path(path).read_text(encoding="utf-8"))
+    except (OSError, ValueError) as error:
+        raise ConfigError(f"RELAY_CONFIG: {path}: {error}") from None
+    return config_of(raw, env, front or env.get("ELDERSTALL_FRONT"))
--- /dev/null
+++ b/elderstall/core.py
@@ -0,0 +1,403 @@
+"""The program's core: it owns jobs and attempts and keeps the rules; it knows no wire.
+
+A front hands in jobs and is told their answers. A carrier takes attempts to workers. The module in
+``choice.py`` is fed events and its actions are carried out, each checked against the rules first.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure
+
+from elderstall import interface as i
+from elderstall.choice import Dispatcher
+from elderstall.deadlines import Deadline, Deadlines
+from elderstall.interface import Effect, Ending, ListScope, Scope, WorkerState
+from elderstall.log import Log
+from elderstall.slots import Slots
+
+DRAIN_GRACE = 1_500.0  # ms after which the core itself sends nothing to a worker told draining or gone
+
+
+@dataclass(slots=True, frozen=True)
+class Ask:
+    """A job as a front took it. The parcel is the front's own matter and passes through unread."""
+
+    cid: str  # the client's id, as text
+    job_class: str
+    budget: float  # ms from now that the client waits
+    parcel: object
+    tenant: str | None = None
+    key: str | None = None
+    work_hint: float | None = None
+    slots: int = 1
+
+
+@dataclass(slots=True, frozen=True)
+class Served:
+    """Final answer: a worker's result."""
+
+    result: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class Refused:
+    """Final answer: turned down, trying again is harmless."""
+
+    retry_after: float = 0.0  # ms
+
+
+@dataclass(slots=True, frozen=True)
+class Failed:
+    """Final answer: failed, with no promise about what has run."""
+
+    late: bool = False  # whether time ran out
+
+
+Answer = Served | Refused | Failed
+
+
+@dataclass(slots=True, frozen=True)
+class Outcome:
+    """How an attempt ended, as a carrier saw it."""
+
+    ending: Ending
+    result: bytes = b""
+    report: tuple[float, ...] = ()
+
+
+class Client(Protocol):
+    """Whoever waits for a job's answer."""
+
+    def answered(self, answer: Answer) -> None:
+        """Take the one final answer."""
+
+    def progressed(self, share: float, text: str) -> None:
+        """Take news of a running attempt."""
+
+
+class Carrier(Protocol):
+    """What takes attempts to workers."""
+
+    def send(self, worker: str, ask: Ask, budget: float, note: Callable[[float, str], None],
+             ) -> Deferred[Outcome | None]:
+        """Start an attempt. Fires with its outcome, or None where the worker took it and will call back.
+
+        Cancelling it gives the attempt up by closing its connection.
+        """
+
+    def recall(self, worker: str, cid: str) -> Deferred[None]:
+        """Give up an attempt that the worker has taken; fires when the worker was told, or cannot be."""
+
+
+class TooManyJobsError(Exception):
+    """The core takes no more jobs."""
+
+
+class RepeatedIdError(Exception):
+    """The id is that of a live job."""
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """The one attempt of a job that is out."""
+
+    job: Job
+    number: int
+    worker: str
+    sent: float
+    ends: float
+    taken: bool = False  # the worker said that it will call back
+    sending: Deferred[Outcome | None] | None = None
+    timer: Deadline | None = None
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    """A job that is owed an answer."""
+
+    ask: Ask
+    client: Client
+    cls: i.JobClass
+    arrived: float
+    deadline: float
+    number: int = 0
+    sent: int = 0
+    may_have_run: bool = False
+    closed: bool = False
+    recalls: int = 0  # attempts given up whose worker has not yet confirmed it
+    held_send: i.Send | None = None  # waits for these
+    attempt: Attempt | None = None
+    unsure: set[str] = field(default_factory=set)  # workers that may still speak of an earlier attempt
+    guard: Deadline | None = None
+
+
+@dataclass(slots=True)
+class Known:
+    """What the core knows of a listed worker."""
+
+    state: WorkerState
+    since: float  # when it was told this state
+
+
+class Core:
+    """One dispatcher: the module, its jobs and the rules."""
+
+    def __init__(self, settings: i.Settings, seed: int, deadlines: Deadlines, carrier: Carrier, log: Log,
+                 slack: float = 8.0, max_open: int = 20_000) -> None:
+        self.s, self.deadlines, self.carrier, self.log = settings, deadlines, carrier, log
+        self.module = Dispatcher(settings, seed)
+        self.slack = slack
+        self.classes = {c.name: c for c in settings.classes}
+        self.tenants = {t.name for t in settings.tenants}
+        self.jobs: Slots[Job] = Slots(max_open)
+        self.by_cid: dict[str, Job] = {}
+        self.workers: dict[str, Known] = {}
+        self.events: deque[i.Event] = deque()
+        self.feeding = False
+        self.follow: Callable[[], None] = lambda: None  # asks for the list's changes
+        self.on_empty: Callable[[], None] = lambda: None
+        self.doing: dict[type, Callable[..., None]] = {
+            i.Send: self.send, i.Refuse: self.refuse, i.Fail: self.fail, i.SetTimer: self.set_timer,
+            i.FollowList: lambda _: self.follow(), i.Log: lambda a: self.log.write("module", a.text),
+        }
+
+    # ---- the module ----
+
+    def feed(self, event: i.Event) -> None:
+        """Hand the module an event, after those before it, and carry out its actions."""
+        self.events.append(event)
+        if self.feeding:
+            return
+        self.feeding = True
+        try:
+            while self.events:
+                event = self.events.popleft()
+                try:
+                    for action in self.module.handle(self.deadlines.now(), event):
+                        self.doing[type(action)](action)
+                except Exception as error:
+                    # Guards the other jobs against one bad event; the job's own guard still answers it.
+                    self.log.failure(f"event {type(event).__name__}", error)
+        finally:
+            self.feeding = False
+
+    def start(self, known: tuple[i.Listed, ...]) -> None:
+        """Begin, with the list as this dispatcher last held it."""
+        self.feed(i.Begin())
+        self.listed(ListScope.WHOLE, known)
+
+    def set_timer(self, action: i.SetTimer) -> None:
+        """Carry out SetTimer."""
+        delay = max(self.s.tick, action.delay)
+        self.deadlines.after(delay, self.feed, i.TimerFired(action.token))
+
+    # ---- the list ----
+
+    def listed(self, scope: ListScope, entries: tuple[i.Listed, ...] = ()) -> None:
+        """Take news of the list, for the rule on drains and for the module."""
+        now = self.deadlines.now()
+        if scope is ListScope.WHOLE:
+            named = {e.worker for e in entries}
+            for name, known in self.workers.items():
+                if name not in named and known.state is not WorkerState.GONE:
+                    self.workers[name] = Known(WorkerState.GONE, now)
+        for e in entries:
+            old = self.workers.get(e.worker)
+            # From draining to gone the worker stays told: the clock of the rule is not set back.
+            stays = old is not None and (old.state is WorkerState.UP) == (e.state is WorkerState.UP)
+            self.workers[e.worker] = Known(e.state, old.since if old is not None and stays else now)
+        self.feed(i.WorkerList(scope, entries))
+
+    # ---- jobs ----
+
+    def take(self, ask: Ask, client: Client) -> int:
+        """Take a job on; from here it is owed one final answer. Gives its number."""
+        if ask.cid in self.by_cid:
+            raise RepeatedIdError(ask.cid)
+        if self.jobs.full:
+            raise TooManyJobsError
+        now = self.deadlines.now()
+        job = Job(ask, client, self.classes[ask.job_class], now, now + ask.budget)
+        job.number = self.jobs.add(job)
+        self.by_cid[ask.cid] = job
+        # Guards rule 1 whatever the module does: half the slack past the deadline the core answers itself.
+        job.guard = self.deadlines.at(job.deadline + self.slack / 2, self.overdue, job)
+        self.feed(i.JobArrived(job.number, ask.job_class, ask.budget, ask.tenant, ask.key, ask.work_hint,
+                               ask.slots))
+        return job.number
+
+    def left(self, number: int) -> None:
+        """Note that the client of a job is gone: nothing is owed, its attempt is given up."""
+        job = self.jobs.get(number)
+        if job is not None:
+            self.feed(i.JobLeft(number))
+            self.close(job, None)
+
+    def overdue(self, job: Job) -> None:
+        """Answer a job that the module has not."""
+        if job.closed:
+            return
+        self.log.write("guard", f"job {job.ask.cid} of {job.ask.job_class} had no answer at its deadline")
+        self.feed(i.JobLeft(job.number))
+        if not job.closed:
+            self.close(job, Refused() if self.harmless(job) else Failed(late=True))
+
+    def harmless(self, job: Job) -> bool:
+        """Say whether rule 2 allows a refusal."""
+        if job.cls.effect is Effect.SAFE:
+            return True
+        if job.cls.effect is Effect.KEYED and job.cls.scope is Scope.ALL:
+            return True
+        return not job.may_have_run and job.attempt is None
+
+    def refuse(self, action: i.Refuse) -> None:
+        """Carry out Refuse; guards rule 2 against refusing what may have run."""
+        job = self.jobs.get(action.job)
+        if job is not None:
+            self.close(job, Refused(action.retry_after) if self.harmless(job) else Failed())
+
+    def fail(self, action: i.Fail) -> None:
+        """Carry out Fail."""
+        job = self.jobs.get(action.job)
+        if job is not None:
+            self.close(job, Failed(late=self.deadlines.now() >= job.deadline))
+
+    def close(self, job: Job, answer: Answer | None) -> None:
+        """Give a job its one final answer, if its client is there, and give up what is still out."""
+        if job.closed:
+            return
+        job.closed, job.held_send = True, None
+        self.jobs.remove(job.number)
+        del self.by_cid[job.ask.cid]
+        if job.guard is not None:
+            job.guard.cancel()
+        if answer is not None:
+            job.client.answered(answer)
+        if job.attempt is not None:
+            self.give_up(job.attempt, Ending.CANCELLED)
+        if not self.by_cid:
+            self.on_empty()
+
+    # ---- attempts ----
+
+    def may_send(self, job: Job, action: i.Send) -> str | None:
+        """Check a send against the rules; give the rule that forbids it."""
+        known, now = self.workers.get(action.worker), self.deadlines.now()
+        if job.attempt is not None:
+            return "an attempt is out"
+        if job.sent > self.s.max_attempts:  # this one is counted
+            return "too many attempts"
+        if known is None:
+            return "unknown worker"
+        if known.state is not WorkerState.UP and now - known.since > DRAIN_GRACE:
+            return "worker told draining or gone"
+        if job.may_have_run and job.cls.effect is Effect.UNSAFE:
+            return "may have run"
+        return None if now < job.deadline else "no time left"
+
+    def send(self, action: i.Send) -> None:
+        """Carry out Send, once every earlier attempt is known to be given up."""
+        job = self.jobs.get(action.job)
+        if job is None:
+            return
+        if job.recalls:
+            job.held_send = action
+            return
+        number, job.sent = job.sent, job.sent + 1
+        if (why := self.may_send(job, action)) is not None:
+            self.log.write("rule", f"job {job.ask.cid} not sent to {action.worker}: {why}")
+            self.feed(i.AttemptEnded(job.number, number, action.worker, Ending.NEVER_SENT))
+            return
+        now = self.deadlines.now()
+        ends = min(now + action.time_out, job.deadline) if action.time_out > 0 else job.deadline
+        job.attempt = a = Attempt(job, number, action.worker, now, ends)
+        a.timer = self.deadlines.at(ends, self.timed_out, a)
+        a.sending = self.carrier.send(
+            a.worker, job.ask, ends - now, lambda share, text: self.noted(a, share, text))
+        a.sending.addCallback(self.carried, a).addErrback(self.broke, a)
+
+    def carried(self, outcome: Outcome | None, a: Attempt) -> None:
+        """Take the carrier's word on an attempt."""
+        a.taken = True
+        if outcome is not None:
+            self.ended(a, outcome)
+
+    def broke(self, failure: Failure, a: Attempt) -> None:
+        """Take an error in the carrier, which knows all outcomes; what it can't tell may have run."""
+        if a.job.attempt is a:
+            self.log.failure("carrier", failure.value)
+            self.ended(a, Outcome(Ending.BROKEN))
+
+    def noted(self, a: Attempt, share: float, text: str = "", started: bool = False) -> None:
+        """Pass on the progress of a live attempt."""
+        if a.job.attempt is a:
+            self.feed(i.AttemptNoted(a.job.number, a.number, a.worker, share, started))
+            if not a.job.closed and not started:
+                a.job.client.progressed(share, text)
+
+    def live(self, cid: str, worker: str) -> Attempt | None:
+        """Find the live attempt of a client's id at a worker, for what the worker calls back."""
+        job = self.by_cid.get(cid)
+        if job is None or job.attempt is None or job.attempt.worker != worker:
+            return None
+        return job.attempt
+
+    def called_back(self, a: Attempt, outcome: Outcome) -> None:
+        """Take the end that a worker tells of an attempt."""
+        if outcome.ending is not Ending.SERVED and a.worker in a.job.unsure:
+            # Guards against two copies: this may be the late end of an earlier attempt at the same worker,
+            # so the live one is given up before it counts as ended, and it may have run.
+            self.give_up(a, Ending.BROKEN)
+        else:
+            self.ended(a, outcome)
+
+    def timed_out(self, a: Attempt) -> None:
+        """Give an attempt up at its time."""
+        self.give_up(a, Ending.TIMED_OUT)
+
+    def give_up(self, a: Attempt, ending: Ending) -> None:
+        """Stop waiting for an attempt: close its connection, or tell the worker that has taken it."""
+        job = a.job
+        if job.attempt is not a:
+            return
+        self.detach(a, ending)
+        if a.taken:
+            job.recalls += 1
+            self.carrier.recall(a.worker, job.ask.cid).addBoth(self.recalled, job)
+        elif a.sending is not None:
+            a.sending.cancel()
+        self.feed(i.AttemptEnded(job.number, a.number, a.worker, ending, job.closed))
+
+    def recalled(self, _: object, job: Job) -> None:
+        """Go on with a send that waited for the worker to be told."""
+        job.recalls -= 1
+        action = job.held_send
+        if job.recalls == 0 and action is not None and not job.closed:
+            job.held_send = None
+            self.send(action)
+
+    def detach(self, a: Attempt, ending: Ending) -> None:
+        """Take an attempt off its job and note what its end leaves open."""
+        job = a.job
+        job.attempt = None
+        if a.timer is not None:
+            a.timer.cancel()
+        if ending not in i.NEVER_RAN:
+            job.may_have_run = True
+            job.unsure.add(a.worker)
+
+    def ended(self, a: Attempt, outcome: Outcome) -> None:
+        """Take the end of an attempt; the first result is the job's answer."""
+        job = a.job
+        if job.attempt is not a:
+            return
+        self.detach(a, outcome.ending)
+        if outcome.ending is Ending.SERVED:
+            self.close(job, Served(outcome.result))
+        self.feed(i.AttemptEnded(job.number, a.number, a.worker, outcome.ending, job.closed, outcome.report))
--- /dev/null
+++ b/elderstall/deadlines.py
@@ -0,0 +1,95 @@
+"""Every deadline of the program in one heap, with one reactor call behind it, and the clock they share."""
+
+from __future__ import annotations
+
+import heapq
+import time
+from collections.abc import Callable
+from typing import Any
+
+
+class Deadline:
+    """One deadline; it can be cancelled."""
+
+    __slots__ = ("call", "args", "at")
+
+    def __init__(self, at: float, call: Callable[..., object], args: tuple[Any, ...]) -> None:
+        self.at = at
+        self.call: Callable[..., object] | None = call
+        self.args = args
+
+    def cancel(self) -> None:
+        """Forget the call, and what it would hold alive."""
+        self.call, self.args = None, ()
+
+
+class Deadlines:
+    """Milliseconds: Unix time at the start plus monotonic progress, so the list's starts compare."""
+
+    def __init__(self, reactor: Any, seconds: Callable[[], float] = time.monotonic,
+                 unix_ms: float | None = None) -> None:
+        self.reactor, self.seconds = reactor, seconds  # an IReactorTime; its own clock may be set back
+        self.offset = (time.time() * 1000 if unix_ms is None else unix_ms) - seconds() * 1000
+        self.heap: list[tuple[float, int, Deadline]] = []
+        self.count = 0
+        self.wake: Any = None  # IDelayedCall
+        self.wake_at = 0.0
+        self.running = False
+        self.failed: Callable[[BaseException], None] | None = None  # told of a call that raised
+
+    def now(self) -> float:
+        """Read the clock."""
+        return self.seconds() * 1000 + self.offset
+
+    def after(self, delay: float, call: Callable[..., object], *args: Any) -> Deadline:
+        """Call after so many milliseconds."""
+        return self.at(self.now() + max(0.0, delay), call, *args)
+
+    def at(self, when: float, call: Callable[..., object], *args: Any) -> Deadline:
+        """Call at a reading of the clock; deadlines of one reading in the order they were set."""
+        deadline = Deadline(when, call, args)
+        self.count += 1
+        heapq.heappush(self.heap, (when, self.count, deadline))
+        self.rouse()
+        return deadline
+
+    def rouse(self) -> None:
+        """Keep the one reactor call at the earliest deadline that still counts."""
+        while self.heap and self.heap[0][2].call is None:
+            heapq.heappop(self.heap)
+        if self.running or not self.heap:
+            return
+        first = self.heap[0][0]
+        if self.wake is not None:
+            if self.wake_at <= first:
+                return
+            self.wake.cancel()
+        self.wake_at = first
+        self.wake = self.reactor.callLater(max(0.0, first - self.now()) / 1000, self.run)
+
+    def run(self) -> None:
+        """Make the calls that are due; what they set for now waits for the next round."""
+        self.wake, self.running = None, True
+        now, last = self.now() + 0.001, self.count  # a reactor may wake a hair early
+        later: list[tuple[float, int, Deadline]] = []
+        try:
+            while self.heap and self.heap[0][0] <= now:
+                entry = heapq.heappop(self.heap)
+                deadline = entry[2]
+                if entry[1] > last:
+                    later.append(entry)
+                elif (call := deadline.call) is not None:
+                    args = deadline.args
+                    deadline.cancel()
+                    try:
+                        call(*args)
+                    except Exception as error:
+                        # Guards the other deadlines against one call that fails.
+                        if self.failed is None:
+                            raise
+                        self.failed(error)
+        finally:
+            for entry in later:
+                heapq.heappush(self.heap, entry)
+            self.running = False
+            self.rouse()
--- /dev/null
+++ b/elderstall/net/discovery.py
@@ -0,0 +1,222 @@
+"""Discovery: one watch on the list of workers, resumed where it broke."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from typing import Any
+from typing import Protocol as Shape
+
+from twisted.internet.defer import Deferred
+from twisted.internet.protocol import Factory, Protocol, connectionDone
+from twisted.python.failure import Failure
+
+from elderstall import interface as i
+from elderstall.deadlines import Deadline, Deadlines
+from elderstall.log import Log
+from elderstall.net import http
+
+STATES = {
+    "in_service": i.WorkerState.UP, "terminating": i.WorkerState.DRAINING, "terminated": i.WorkerState.GONE}
+LINE_MOST = 4 * 1024 * 1024  # bytes of one line, as a whole list may be long
+
+
+class ListError(Exception):
+    """An answer of discovery that is no list."""
+
+
+class Pools(Shape):
+    """What is told of addresses."""
+
+    def listed(self, name: str, address: str, started: float | None) -> None:
+        """Take a worker's address."""
+
+    def gone(self, name: str) -> None:
+        """Forget a worker."""
+
+
+Told = Callable[[i.ListScope, tuple[i.Listed, ...]], None]
+Connect = Callable[[Factory], Deferred["WatchConnection"]]
+
+
+def entry_of(e: Any, live: bool) -> tuple[i.Listed, str]:
+    """Read one line of a list."""
+    try:
+        name, address, state = e["name"], e["address"], STATES[e["status"]]
+        started, weight = float(e.get("since_ms") or 0), float(e.get("weight") or 0)
+        listed = i.Listed(str(name), str(e.get("type") or ""), e.get("zone"), int(e.get("group") or 0),
+                          started or None, state, (live and weight) or 1.0)
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise ListError(f"bad entry: {type(error).__name__} {error}") from None
+    if not isinstance(name, str) or not isinstance(address, str):
+        raise ListError("name and address are text")
+    return listed, address
+
+
+def list_of(value: Any, live: bool) -> tuple[int, i.ListScope, list[tuple[i.Listed, str]]]:
+    """Read a list in discovery's form."""
+    if not isinstance(value, dict) or not isinstance(value.get("endpoints"), list):
+        raise ListError("no list")
+    if not isinstance(value.get("index"), int):
+        raise ListError("no index")
+    scope = i.ListScope.WHOLE if value.get("snapshot") else i.ListScope.CHANGES
+    return value["index"], scope, [entry_of(e, live) for e in value["endpoints"]]
+
+
+class WatchConnection(Protocol):
+    """One connection to discovery: an answer without end, a line a change."""
+
+    transport: Any  # ITCPTransport, as zope's interfaces say nothing to mypy
+
+    def __init__(self, watch: Discovery) -> None:
+        self.watch = watch
+        self.parser = http.Parser(responses=True, max_body=0)
+        self.line = bytearray()
+        self.good = False
+        self.reason = "discovery-closed"
+
+    def connectionMade(self) -> None:  # noqa: N802, D102
+        target = f"/discovery/hosts?watch=1&from={self.watch.index}"
+        self.transport.write(http.request("GET", target, self.watch.address))
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802, D102
+        if self.watch.connection is not self:
+            return
+        self.parser.feed(data)
+        try:
+            while self.watch.connection is self and (event := self.parser.next()) is not None:
+                if isinstance(event, http.Head):
+                    if event.message.status != 200:
+                        raise ListError(f"status {event.message.status}")
+                    self.good = True
+                elif isinstance(event, http.Data):
+                    self.lines(event.data)
+                else:
+                    raise ListError("the watch ended")
+        except (http.MessageError, ListError, ValueError, RecursionError) as error:
+            self.watch.broken("bad-list", str(error))
+
+    def lines(self, data: bytes) -> None:
+        """Split the body at its line ends; an empty line says that discovery lives."""
+        *whole, rest = data.split(b"\n")
+        for part in whole:
+            self.line += part
+            text = bytes(self.line).strip()
+            self.line.clear()
+            self.watch.heard(json.loads(text) if text else None)
+        self.line += rest
+        if len(self.line) > LINE_MOST:
+            raise ListError("line too long")
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802, D102
+        self.watch.log.ended("discovery", 0, self.reason)
+        if self.watch.connection is self:
+            self.watch.connection = None
+            self.watch.broken("discovery-closed", "")
+
+
+class Discovery(Factory):
+    """Keeps the list, and a watch on it whenever the module has asked for one."""
+
+    noisy = False
+
+    def __init__(self, deadlines: Deadlines, log: Log, connect: Connect, pools: Pools, told: Told,
+                 address: str = "", live: bool = False, silent_for: float = 3_000.0,
+                 answer_in: float = 4_000.0) -> None:
+        self.deadlines, self.log, self.connect, self.pools, self.told = deadlines, log, connect, pools, told
+        self.address, self.live = address, live
+        self.silent_for, self.answer_in = silent_for, answer_in
+        self.index = 0
+        self.addresses: dict[str, str] = {}
+        self.connection: WatchConnection | None = None
+        self.connecting: Deferred[WatchConnection] | None = None
+        self.timer: Deadline | None = None
+        self.fresh = False  # a call of which the module has not yet heard
+
+    def buildProtocol(self, addr: object) -> WatchConnection:  # noqa: N802, D102
+        return WatchConnection(self)
+
+    def take(self, value: Any) -> tuple[i.ListScope, tuple[i.Listed, ...]]:
+        """Merge a list; addresses first, as the module may send at once."""
+        index, scope, pairs = list_of(value, self.live)
+        names = {listed.worker for listed, _ in pairs}
+        if scope is i.ListScope.WHOLE:
+            for name in [name for name in self.addresses if name not in names]:
+                self.drop(name)
+        for listed, address in pairs:
+            if listed.state is i.WorkerState.GONE:
+                self.drop(listed.worker)
+            else:
+                self.addresses[listed.worker] = address
+                self.pools.listed(listed.worker, address, listed.started)
+        self.index = index
+        return scope, tuple(listed for listed, _ in pairs)
+
+    def drop(self, name: str) -> None:
+        """Forget a worker's address."""
+        self.addresses.pop(name, None)
+        self.pools.gone(name)
+
+    def follow(self) -> None:
+        """Ask for changes; while a watch is being opened or lives, it is the answer."""
+        if self.connection is not None or self.connecting is not None:
+            return
+        self.fresh = True
+        self.expect(self.answer_in)
+        self.connecting = connecting = self.connect(self)
+        connecting.addCallbacks(self.up, self.down).addErrback(self.bug)
+
+    def up(self, connection: WatchConnection) -> None:
+        """Take the connection that has come up."""
+        self.connecting = None
+        self.connection = connection
+
+    def down(self, failure: Failure) -> None:
+        """Note that none came up."""
+        if self.connecting is not None:
+            self.connecting = None
+            self.broken("no-discovery", type(failure.value).__name__)
+
+    def bug(self, failure: Failure) -> None:
+        """Note an error of our own."""
+        self.log.failure("discovery", failure.value)
+
+    def expect(self, within: float) -> None:
+        """Wait so long for the next sign of life."""
+        if self.timer is not None:
+            self.timer.cancel()
+        self.timer = self.deadlines.after(within, self.broken, "silent", "")
+
+    def heard(self, value: Any) -> None:
+        """Take one line of the watch."""
+        self.expect(self.silent_for)
+        if value is not None:
+            news = self.take(value)
+            self.fresh = False
+            self.told(*news)
+        elif self.fresh:
+            self.fresh = False
+            self.told(i.ListScope.CHANGES, ())
+
+    def broken(self, reason: str, detail: str) -> None:
+        """Close the watch and tell the module, which asks again when it sees fit."""
+        self.log.write("watch", f"{reason} {detail}".rstrip())
+        if self.timer is not None:
+            self.timer.cancel()
+        connecting, self.connecting = self.connecting, None
+        if connecting is not None:
+            connecting.cancel()
+        connection, self.connection = self.connection, None
+        if connection is not None:
+            connection.reason = reason
+            connection.transport.abortConnection()
+        self.told(i.ListScope.FAILED, ())
+
+    def close(self) -> None:
+        """End the watch for good."""
+        if self.timer is not None:
+            self.timer.cancel()
+        connection, self.connection = self.connection, None
+        if connection is not None:
+            connection.reason = "exit"
+            connection.transport.abortConnection()
--- /dev/null
+++ b/elderstall/net/server.py
@@ -0,0 +1,426 @@
+"""The listener: clients, ``/up`` and workers' ``/callback`` on one address."""
+
+from __future__ import annotations
+
+import json
+import math
+from collections.abc import Callable
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+from twisted.internet.interfaces import IPushProducer
+from twisted.internet.protocol import Factory, Protocol, connectionDone
+from twisted.python.failure import Failure
+from zope.interface import implementer
+
+from elderstall.core import Answer, Ask, Core, Outcome, Refused, RepeatedIdError, Served, TooManyJobsError
+from elderstall.deadlines import Deadline, Deadlines
+from elderstall.interface import Ending
+from elderstall.log import Log
+from elderstall.net import http
+from elderstall.slots import Slots
+
+READ_AHEAD = 32 * 1024  # bytes of pipelined input kept while a job is out
+LINGER = 1_000.0  # ms of reading on after a last answer, so that a reset does not overtake it
+ENDINGS = {"done": Ending.SERVED, "failed": Ending.ERROR, "returned": Ending.FULL, "lost": Ending.BROKEN}
+BUDGET_MOST = 24 * 3_600_000.0
+
+ReportOf = Callable[[object], tuple[float, ...]]
+
+
+class RequestError(Exception):
+    """A request that gets its answer here; it reaches neither module nor worker."""
+
+    def __init__(self, status: int, why: str, headers: tuple[tuple[str, str], ...] = ()) -> None:
+        super().__init__(why)
+        self.status, self.headers = status, headers
+
+
+def retry_after(ms: float) -> tuple[tuple[str, str], ...]:
+    """Write the header that tells a client when to come back."""
+    return (("Retry-After", f"{ms / 1000:.3f}".rstrip("0").rstrip(".")),) if ms > 0 else ()
+
+
+def number_of(text: str | None, name: str) -> float | None:
+    """Read a header that holds a number, if it is there."""
+    if text is None:
+        return None
+    try:
+        value = float(text)
+    except ValueError:
+        value = math.nan
+    if not 0 <= value < 1e15:
+        raise RequestError(400, f"{name} is no number")
+    return value
+
+
+def info_of(text: str | None) -> dict[str, str]:
+    """Read ``name=value,name=value``."""
+    pairs = (part.partition("=") for part in (text or "").split(",") if part.strip())
+    return {name.strip(): value.strip() for name, _, value in pairs}
+
+
+def ask_of(message: http.Message, core: Core) -> Ask:
+    """Read a client's job, or say what is wrong with it."""
+    headers = message.headers
+    url = urlsplit(message.target)
+    path_class = url.path.lstrip("/").split("/", 1)[0]
+    job_class = headers.get("X-Call-Class")
+    if path_class not in core.classes and job_class is None:
+        raise RequestError(404, "no such path")
+    if message.method != "POST":
+        raise RequestError(405, "jobs come by POST", (("Allow", "POST"),))
+    if job_class not in core.classes or job_class != path_class:
+        raise RequestError(400, "X-Call-Class is missing, unknown or not that of the path")
+    cid = headers.get("X-Call-Id")
+    if not cid or len(cid) > 256:
+        raise RequestError(400, "X-Call-Id is missing or too long")
+    budget = number_of(headers.get("X-Budget-Ms"), "X-Budget-Ms")
+    if budget is None:
+        raise RequestError(400, "X-Budget-Ms is missing")
+    tenant = headers.get("X-Caller")
+    if core.tenants and tenant not in core.tenants:
+        raise RequestError(400, "X-Caller is missing or unknown")
+    cost = number_of(headers.get("X-Call-Cost"), "X-Call-Cost")
+    info = info_of(headers.get("X-Call-Info"))
+    slots = number_of(info.get("cores_needed") or info.get("slots"), "X-Call-Info") or 1
+    keys = parse_qs(url.query, max_num_fields=50).get("obj")
+    return Ask(cid, job_class, min(budget, BUDGET_MOST), message, tenant, keys[0] if keys else None,
+               cost / 1000 if cost else None, int(slots))
+
+
+@implementer(IPushProducer)
+class ServerConnection(Protocol):
+    """One accepted connection: requests are answered one at a time, in order."""
+
+    transport: Any  # ITCPTransport, as zope's interfaces say nothing to mypy
+
+    def __init__(self, server: Server) -> None:
+        self.server = server
+        self.parser = http.Parser()
+        self.number = 0
+        self.message: http.Message | None = None  # being read
+        self.body: list[bytes] = []
+        self.job: int | None = None  # out
+        self.busy = False  # a request is being handled
+        self.blocked = False  # the peer does not read
+        self.stepping = False
+        self.paused = False
+        self.closing = False
+        self.client = False  # has handed in a job
+        self.requests = 0
+        self.reason = "peer-closed"
+        self.timer: Deadline | None = None
+        self.close_after = False
+
+    def connectionMade(self) -> None:  # noqa: N802, D102
+        self.transport.setTcpNoDelay(True)
+        self.number = self.server.connections.add(self)
+        self.transport.registerProducer(self, True)
+        self.server.crowded()
+        self.wait(self.server.idle_for, "idle")
+
+    def wait(self, delay: float, reason: str) -> None:
+        """Give the peer so long for what comes next."""
+        if self.timer is not None:
+            self.timer.cancel()
+        self.timer = self.server.deadlines.after(delay, self.expire, reason)
+
+    def expire(self, reason: str) -> None:
+        """End a connection whose peer took too long."""
+        if self.job is not None or self.busy:
+            return
+        if reason == "slow-request":
+            self.finish(408, reason, b"request took too long\n")
+        else:
+            self.end(reason)
+
+    # ---- reading ----
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802, D102
+        if self.closing:
+            return
+        self.parser.feed(data)
+        self.step()
+
+    def step(self) -> None:
+        """Read what has come, as far as answers may go out."""
+        if self.stepping:
+            return
+        self.stepping = True
+        try:
+            while not (self.busy or self.blocked or self.closing):
+                event = self.parser.next()
+                if event is None:
+                    break
+                self.take(event)
+        except http.MessageError as error:
+            self.finish(error.status, "bad-request", f"{error}\n".encode())
+        finally:
+            self.stepping = False
+        full = (self.busy or self.blocked) and len(self.parser.buffer) > READ_AHEAD
+        if full != self.paused and not self.closing:
+            self.paused = full
+            (self.transport.pauseProducing if full else self.transport.resumeProducing)()
+
+    def take(self, event: http.Event) -> None:
+        """Gather a request."""
+        if isinstance(event, http.Head):
+            self.message, self.body = event.message, []
+            self.wait(self.server.request_for, "slow-request")
+            if event.message.version >= (1, 1) and len(event.message.headers.all("Host")) != 1:
+                raise http.MessageError(400, "Host is missing or stands twice")
+            expect = event.message.headers.tokens("Expect")
+            if expect == ["100-continue"]:
+                self.transport.write(http.response(100))
+            elif expect:
+                raise http.MessageError(417, "unknown expectation")
+        elif isinstance(event, http.Data):
+            self.body.append(event.data)
+        elif self.message is not None:
+            message, self.message = self.message, None
+            message.body, self.body = b"".join(self.body), []
+            self.requests += 1
+            self.busy, self.close_after = True, not message.keep_alive
+            if self.timer is not None:
+                self.timer.cancel()
+            try:
+                self.server.handle(self, message)
+            except RequestError as denied:
+                self.reply(denied.status, f"{denied}\n".encode(), denied.headers)
+
+    # ---- answering ----
+
+    def reply(self, status: int, body: bytes = b"", headers: tuple[tuple[str, str], ...] = ()) -> None:
+        """Answer the request in hand and go on to the next."""
+        if not self.busy or self.closing:
+            return
+        close = self.close_after or self.server.closes(self)
+        self.transport.write(http.response(status, body, headers, close))
+        self.over(close)
+
+    def over(self, close: bool) -> None:
+        """Go on after an answer."""
+        self.busy, self.job = False, None
+        if close:
+            self.linger(self.server.close_reason())
+            return
+        self.wait(self.server.idle_for, "idle")
+        self.step()
+
+    def finish(self, status: int, reason: str, body: bytes) -> None:
+        """Answer what is no request, and close."""
+        self.transport.write(http.response(status, body, close=True))
+        self.linger(reason)
+
+    def linger(self, reason: str) -> None:
+        """Close our side, and read on a little: a reset would overtake the answer."""
+        self.closing, self.reason = True, reason
+        self.parser.buffer.clear()
+        if self.paused:
+            self.paused = False
+            self.transport.resumeProducing()
+        self.transport.unregisterProducer()
+        self.transport.loseWriteConnection()
+        if self.timer is not None:
+            self.timer.cancel()
+        self.timer = self.server.deadlines.after(LINGER, self.end, reason)
+
+    def end(self, reason: str) -> None:
+        """Close the connection."""
+        if self.timer is not None:
+            self.timer.cancel()
+        if not self.closing:
+            self.closing, self.reason = True, reason
+            self.transport.unregisterProducer()
+        self.transport.loseConnection()
+        # A peer that reads nothing would hold the connection for ever.
+        self.timer = self.server.deadlines.after(LINGER, self.transport.abortConnection)
+
+    # ---- the job's client ----
+
+    def answered(self, answer: Answer) -> None:
+        """Write the job's final answer."""
+        self.job = None
+        if isinstance(answer, Served):
+            self.reply(200, answer.result, (("Content-Type", "application/octet-stream"),))
+        elif isinstance(answer, Refused):
+            self.reply(503, b"refused\n", retry_after(answer.retry_after))
+        else:
+            self.reply(504 if answer.late else 502, b"failed\n")
+
+    def progressed(self, share: float, text: str) -> None:
+        """Plain answers carry no progress."""
+
+    # ---- the peer's reading ----
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Stop answering while the peer does not read; it has so long to take what is there."""
+        self.blocked = True
+        if self.timer is not None:
+            self.timer.cancel()
+        self.timer = self.server.deadlines.after(self.server.write_for, self.stuck)
+
+    def stuck(self) -> None:
+        """Give up on a peer that does not read."""
+        self.reason = "slow-reader"
+        self.transport.abortConnection()
+
+    def resumeProducing(self) -> None:  # noqa: N802, D102
+        if self.blocked:
+            self.blocked = False
+            if not self.busy:
+                self.wait(self.server.idle_for, "idle")
+            elif self.timer is not None:
+                self.timer.cancel()
+            self.step()
+
+    def stopProducing(self) -> None:  # noqa: N802, D102
+        pass
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802, D102
+        self.closing = True
+        if self.timer is not None:
+            self.timer.cancel()
+        job, self.job = self.job, None
+        if job is not None:
+            self.reason = "client-gone"
+            self.server.core.left(job)
+        self.server.connections.remove(self.number)
+        self.server.log.ended("client" if self.client else "peer", self.number, self.reason,
+                              f"{self.requests} requests")
+        self.server.crowded()
+
+
+class Server(Factory):
+    """The listener, and what its connections share."""
+
+    noisy = False
+
+    def __init__(self, core: Core, deadlines: Deadlines, log: Log, report_of: ReportOf,
+                 most: int = 600, soft: int = 500, idle_for: float = 75_000.0, request_for: float = 15_000.0,
+                 write_for: float = 20_000.0, busy_retry: float = 1_000.0) -> None:
+        self.core, self.deadlines, self.log, self.report_of = core, deadlines, log, report_of
+        # Accepting stops one step before the table is full; the reactor may hand over a few in one go.
+        self.connections: Slots[ServerConnection] = Slots()
+        self.most, self.soft = most, soft
+        self.idle_for, self.request_for, self.write_for = idle_for, request_for, write_for
+        self.busy_retry = busy_retry
+        self.draining = False
+        self.refusing = False
+        self.accept: Callable[[bool], None] = lambda on: None  # turns the listening port's reading on or off
+        self.accepting = True
+        self.on_closed: Callable[[], None] = lambda: None
+
+    def buildProtocol(self, addr: object) -> Protocol | None:  # noqa: N802, D102
+        return ServerConnection(self)
+
+    def crowded(self) -> None:
+        """Keep descriptors back: past the soft limit idle clients go, past the hard one none come in.
+
+        A connection that has been accepted may hold a job already, so none is ever turned away unread.
+        """
+        count = len(self.connections)
+        if count > self.soft:
+            for c in self.connections:
+                if c.requests and not c.busy and not c.closing and c.parser.idle and not c.message:
+                    c.end("crowded")
+                    break
+        if (on := count < self.most) is not self.accepting:
+            self.accepting = on
+            self.accept(on)
+        if not count:
+            self.on_closed()
+
+    def closes(self, connection: ServerConnection) -> bool:
+        """Say whether a connection ends after its answer."""
+        return self.draining and connection.client
+
+    def close_reason(self) -> str:
+        """Name the reason of such an end."""
+        return "drain" if self.draining else "closed-after"
+
+    # ---- requests ----
+
+    def handle(self, c: ServerConnection, message: http.Message) -> None:
+        """Answer a request."""
+        path = message.target.split("?", 1)[0]
+        if path == "/up":
+            if message.method != "GET":
+                raise RequestError(405, "GET only", (("Allow", "GET"),))
+            c.reply(503 if self.draining else 200, b"draining\n" if self.draining else b"up\n")
+        elif path == "/callback":
+            if message.method != "POST":
+                raise RequestError(405, "POST only", (("Allow", "POST"),))
+            self.callback(message)
+            c.reply(204)
+        else:
+            self.job(c, message)
+
+    def job(self, c: ServerConnection, message: http.Message) -> None:
+        """Take a client's job."""
+        c.client = True
+        ask = ask_of(message, self.core)
+        busy = retry_after(self.busy_retry)
+        if self.refusing:
+            raise RequestError(503, "shutting down", busy)
+        if len(self.connections) > (self.soft + self.most) / 2:
+            # Guards the descriptors that workers' call-backs need.
+            raise RequestError(503, "too many connections", busy)
+        self.submit(c, message, ask)
+
+    def submit(self, c: ServerConnection, message: http.Message, ask: Ask) -> None:
+        """Hand a job to the core."""
+        try:
+            number = self.core.take(ask, c)
+        except RepeatedIdError:
+            raise RequestError(400, "a job with this X-Call-Id is live") from None
+        except TooManyJobsError:
+            raise RequestError(503, "too many jobs", retry_after(self.busy_retry)) from None
+        if c.busy:  # else it has been answered already
+            c.job = number
+
+    def callback(self, message: http.Message) -> None:
+        """Take what a worker tells; only a live attempt's own worker is heard."""
+        try:
+            call: Any = json.loads(message.body)
+        except (ValueError, RecursionError):
+            raise RequestError(400, "no JSON") from None
+        if not isinstance(call, dict):
+            raise RequestError(400, "no JSON object")
+        cid, worker, state = call.get("id"), call.get("from"), call.get("state")
+        if not (isinstance(cid, str) and isinstance(worker, str) and isinstance(state, str)):
+            raise RequestError(400, "id, from and state are text")
+        attempt = self.core.live(cid, worker)
+        if attempt is None:
+            return
+        if state in ("started", "running"):
+            share = call.get("share")
+            done = float(share) if isinstance(share, int | float) and 0 <= share <= 1 else 0.0
+            self.core.noted(attempt, done, started=state == "started")
+        elif state in ENDINGS:
+            result = call.get("result", "")
+            text = result if isinstance(result, str) else json.dumps(result)
+            self.core.called_back(attempt, Outcome(
+                ENDINGS[state], text.encode("utf-8", "surrogatepass"), self.report_of(call.get("load"))))
+        else:
+            self.log.write("callback", f"{worker}: unknown state {state!r}")
+
+    # ---- the end ----
+
+    def drain(self) -> None:
+        """Say at ``/up`` that the program ends; connections close with their next answer."""
+        self.draining = True
+
+    def refuse(self) -> None:
+        """Take no new jobs; clients' connections between requests end."""
+        self.refusing = True
+        for c in self.connections:
+            if c.client and not c.busy and not c.closing and c.parser.idle and not c.message:
+                c.linger("drain")
+
+    @property
+    def quiet(self) -> bool:
+        """Whether no request is in hand or still being written."""
+        return not any(c.busy or c.message or c.blocked or not c.parser.idle for c in self.connections
+                       if not c.closing)
--- /dev/null
+++ b/elderstall/net/workers.py
@@ -0,0 +1,365 @@
+"""The carrier to card workers: keep-alive pools, sends and cancels over HTTP."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from typing import Any
+from typing import Protocol as Shape
+from urllib.parse import quote
+
+from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.interfaces import IPullProducer
+from twisted.internet.protocol import Factory, Protocol, connectionDone
+from twisted.python.failure import Failure
+from zope.interface import implementer
+
+from elderstall.core import Ask, Outcome
+from elderstall.deadlines import Deadline, Deadlines
+from elderstall.interface import Ending
+from elderstall.log import Log
+from elderstall.net import http
+from elderstall.slots import Slots
+
+HOP_BY_HOP = frozenset({
+    "connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "te", "trailer",
+    "transfer-encoding", "upgrade", "host", "content-length", "expect", "x-budget-ms"})
+RECALL_WAIT = 2_000.0  # ms that a DELETE may take; its worker may have vanished
+
+Connect = Callable[[str, Factory], Deferred["WorkerConnection"]]  # to an address, within the time allowed
+
+
+class Exchange(Shape):
+    """What takes the answer to one request on a worker's connection."""
+
+    def head(self, message: http.Message) -> None:
+        """Take the answer's head."""
+
+    def data(self, data: bytes) -> None:
+        """Take bytes of its body."""
+
+    def done(self) -> None:
+        """Take its end."""
+
+    def broke(self, written: bool) -> None:
+        """Take the connection's end before that; whether the request's last byte was written."""
+
+
+@implementer(IPullProducer)
+class WorkerConnection(Protocol):
+    """One connection to a worker: one request at a time."""
+
+    transport: Any  # ITCPTransport, as zope's interfaces say nothing to mypy
+
+    def __init__(self, pool: Pool) -> None:
+        self.pool = pool
+        self.parser = http.Parser(responses=True)
+        self.exchange: Exchange | None = None
+        self.request = b""
+        self.written = False
+        self.reusable = False
+        self.reason = "worker-closed"
+        self.number = 0
+        self.idle_timer: Deadline | None = None
+
+    def connectionMade(self) -> None:  # noqa: N802, D102
+        self.transport.setTcpNoDelay(True)
+        self.number = self.pool.workers.connections.add(self)
+
+    def start(self, request: bytes, exchange: Exchange, max_body: int = http.MAX_BODY) -> None:
+        """Write a request. As a pull producer the connection is asked for more once it is all written."""
+        if self.idle_timer is not None:
+            self.idle_timer.cancel()
+        self.parser.max_body = max_body
+        self.request, self.exchange, self.written = request, exchange, False
+        self.transport.registerProducer(self, False)
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Write the request, or learn that its last byte has left the program (handed over isn't sent)."""
+        if self.request:
+            data, self.request = self.request, b""
+            self.transport.write(data)
+        elif not self.written:
+            self.written = True
+            self.transport.unregisterProducer()
+
+    def stopProducing(self) -> None:  # noqa: N802, D102
+        pass
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802, D102
+        self.parser.feed(data)
+        try:
+            if self.exchange is None:
+                raise http.MessageError(502, "bytes without a request")
+            while self.exchange is not None and (event := self.parser.next()) is not None:
+                self.step(event)
+        except http.MessageError as error:
+            self.drop("bad-answer", str(error))
+
+    def step(self, event: http.Event) -> None:
+        """Pass one event of the answer on."""
+        exchange = self.exchange
+        assert exchange is not None
+        if isinstance(event, http.Head):
+            if 100 <= event.message.status < 200:
+                self.parser.next()  # its End; the answer is still to come
+                return
+            self.reusable = event.message.keep_alive
+            exchange.head(event.message)
+        elif isinstance(event, http.Data):
+            exchange.data(event.data)
+        else:
+            # Idle before the exchange hears of it, so that what it sends next finds this connection.
+            self.exchange = None
+            if self.reusable and self.written and self.parser.idle:
+                self.pool.rest(self)
+            else:
+                self.drop("worker-close")
+            exchange.done()
+
+    def drop(self, reason: str, detail: str = "") -> None:
+        """End the connection from here."""
+        self.reason = reason
+        if detail:
+            self.pool.workers.log.write("bad-answer", f"{self.pool.name}: {detail}")
+        self.transport.abortConnection()
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802, D102
+        if self.idle_timer is not None:
+            self.idle_timer.cancel()
+        self.pool.forget(self)
+        exchange, self.exchange = self.exchange, None
+        self.pool.workers.log.ended("worker", self.number, self.reason, self.pool.name)
+        if exchange is not None:
+            if self.parser.eof() is not None:
+                exchange.done()
+            else:
+                exchange.broke(self.written)
+
+
+class Pool(Factory):
+    """The connections to one worker at one address."""
+
+    noisy = False
+
+    def __init__(self, workers: Workers, name: str, address: str) -> None:
+        self.workers, self.name, self.address = workers, name, address
+        self.idle: list[WorkerConnection] = []  # the newest idle last
+        self.closed = False
+
+    def buildProtocol(self, addr: object) -> WorkerConnection:  # noqa: N802, D102
+        return WorkerConnection(self)
+
+    def rest(self, connection: WorkerConnection) -> None:
+        """Keep a connection that is free, until clearly before the worker's machine would close it."""
+        if self.closed:
+            connection.drop("retired")
+            return
+        self.idle.append(connection)
+        connection.idle_timer = self.workers.deadlines.after(self.workers.idle_for, self.retire, connection)
+
+    def retire(self, connection: WorkerConnection) -> None:
+        """Close an idle connection."""
+        if connection in self.idle:
+            self.idle.remove(connection)
+            connection.drop("idle")
+
+    def forget(self, connection: WorkerConnection) -> None:
+        """Take a connection off that has ended."""
+        if connection in self.idle:
+            self.idle.remove(connection)
+        self.workers.connections.remove(connection.number)
+
+    def close(self) -> None:
+        """Drop the idle connections, and those in use once they are free."""
+        self.closed = True
+        for connection in self.idle[::-1]:
+            self.retire(connection)
+
+    def begin(self, request: bytes, exchange: Exchange, max_body: int = http.MAX_BODY) -> Callable[[], None]:
+        """Send a request over the newest idle connection, or a new one; gives what calls it off.
+
+        No request is ever written twice: a connection that breaks tells the exchange, and that is all.
+        """
+        if self.idle:
+            connection = self.idle.pop()
+            connection.start(request, exchange, max_body)
+            return lambda: self.call_off(connection, exchange)
+        if self.workers.connections.full:
+            self.workers.log.write("limit", f"no descriptor for a connection to {self.name}")
+            exchange.broke(False)
+            return lambda: None
+        state: dict[str, WorkerConnection] = {}
+        connecting = self.workers.connect(self.address, self)
+
+        def up(connection: WorkerConnection) -> None:
+            state["up"] = connection
+            connection.start(request, exchange, max_body)
+
+        def down(failure: Failure) -> None:
+            if not isinstance(failure.value, CancelledError):
+                self.workers.log.write("connect", f"{self.name}: {type(failure.value).__name__}")
+                exchange.broke(False)
+
+        def bug(failure: Failure) -> None:
+            self.workers.log.failure("exchange", failure.value)
+
+        connecting.addCallbacks(up, down).addErrback(bug)
+
+        def cancel() -> None:
+            if "up" in state:
+                self.call_off(state["up"], exchange)
+            else:
+                connecting.cancel()
+
+        return cancel
+
+    def call_off(self, connection: WorkerConnection, exchange: Exchange) -> None:
+        """Close the connection if it still carries the exchange."""
+        if connection.exchange is exchange:
+            connection.exchange = None
+            connection.drop("given-up")
+
+
+class Posted:
+    """The exchange of one job on the platform's protocol: a 202, or an answer that ends the attempt."""
+
+    def __init__(self, workers: Workers, done: Deferred[Outcome | None]) -> None:
+        self.workers, self.fired, self.message = workers, done, http.Message((1, 1), http.Headers())
+
+    def head(self, message: http.Message) -> None:
+        """Take the head."""
+        self.message = message
+
+    def data(self, data: bytes) -> None:
+        """Bodies say nothing here."""
+
+    def done(self) -> None:
+        """Take the end."""
+        outcome = None if self.message.status == 202 else self.workers.outcome_of(self.message)
+        self.fired.callback(outcome)
+
+    def broke(self, written: bool) -> None:
+        """Take the connection's end."""
+        self.fired.callback(Outcome(Ending.BROKEN if written else Ending.UNREACHABLE))
+
+
+class Recalled:
+    """The exchange of a DELETE: any end of it will do."""
+
+    def __init__(self, done: Deferred[None]) -> None:
+        self.fired = done
+
+    def head(self, message: http.Message) -> None:
+        """Any status will do."""
+
+    def data(self, data: bytes) -> None:
+        """Bodies say nothing here."""
+
+    def done(self) -> None:
+        """Take the end."""
+        if not self.fired.called:
+            self.fired.callback(None)
+
+    def broke(self, written: bool) -> None:
+        """Take the connection's end."""
+        self.done()
+
+
+class Workers:
+    """The pools of all workers."""
+
+    def __init__(self, deadlines: Deadlines, connect: Connect, log: Log, report_fields: tuple[str, ...] = (),
+                 idle_for: float = 8_000.0, most: int = 300) -> None:
+        self.deadlines, self.connect, self.log = deadlines, connect, log
+        self.report_fields, self.idle_for = report_fields, idle_for
+        self.connections: Slots[WorkerConnection] = Slots(most)
+        self.pools: dict[str, Pool] = {}
+        self.started: dict[str, float | None] = {}
+
+    def listed(self, name: str, address: str, started: float | None) -> None:
+        """Take a worker's address; a changed one or a restart drops the pool."""
+        pool = self.pools.get(name)
+        if pool is None or pool.address != address or self.started.get(name) != started:
+            self.gone(name)
+            self.pools[name], self.started[name] = Pool(self, name, address), started
+
+    def gone(self, name: str) -> None:
+        """Drop the pool of a worker that the list no longer names."""
+        if (pool := self.pools.pop(name, None)) is not None:
+            pool.close()
+
+    def outcome_of(self, message: http.Message) -> Outcome:
+        """Read an answer that ends an attempt, by the protocol's table."""
+        report: tuple[float, ...] = ()
+        try:
+            text = message.headers.get("X-Load-Report")
+            report = self.report_of(json.loads(text)) if text else ()
+            rejected = message.headers.get("X-Rejected") == "1"
+        except (ValueError, RecursionError, http.MessageError):
+            rejected = message.headers.all("X-Rejected") == ["1"]
+        if message.status in (503, 504) and rejected:
+            return Outcome(Ending.FULL, report=report)
+        return Outcome(Ending.ERROR, report=report)
+
+    def report_of(self, load: object) -> tuple[float, ...]:
+        """Read a load report in the order of the settings' fields; one that lacks any says nothing."""
+        if not isinstance(load, dict):
+            return ()
+        values = [load.get(name) for name in self.report_fields]
+        if not all(isinstance(v, int | float) and abs(v) < 1e15 for v in values):
+            return ()
+        return tuple(float(v) for v in values if v is not None)
+
+    def job_request(self, ask: Ask, address: str, budget: float, accept: str = "") -> bytes:
+        """Write a job for a worker: as it came, with the time that is left."""
+        parcel = ask.parcel
+        assert isinstance(parcel, http.Message)
+        fields = [(n, v) for n, v in parcel.headers.fields if n.lower() not in HOP_BY_HOP]
+        if accept:
+            fields = [(n, v) for n, v in fields if n.lower() != "accept"] + [("Accept", accept)]
+        fields.append(("X-Budget-Ms", str(max(0, int(budget)))))
+        return http.request(parcel.method, parcel.target, address, fields, parcel.body)
+
+    def send(self, worker: str, ask: Ask, budget: float, note: Callable[[float, str], None],
+             ) -> Deferred[Outcome | None]:
+        """Send a job; see ``core.Carrier``."""
+        pool = self.pools.get(worker)
+        stop: list[Callable[[], None]] = []
+        done: Deferred[Outcome | None] = Deferred(lambda _: stop[0]() if stop else None)
+        if pool is None:
+            done.callback(Outcome(Ending.UNREACHABLE))
+            return done
+        stop.append(self.begin(pool, ask, budget, note, done))
+        return done
+
+    def begin(self, pool: Pool, ask: Ask, budget: float, note: Callable[[float, str], None],
+              done: Deferred[Outcome | None]) -> Callable[[], None]:
+        """Start the exchange of a job."""
+        return pool.begin(self.job_request(ask, pool.address, budget), Posted(self, done))
+
+    def recall(self, worker: str, cid: str) -> Deferred[None]:
+        """Tell a worker to give up a job that it has taken; see ``core.Carrier``."""
+        done: Deferred[None] = Deferred()
+        pool = self.pools.get(worker)
+        if pool is None:
+            done.callback(None)
+            return done
+        exchange = Recalled(done)
+        cancel = pool.begin(http.request("DELETE", f"/jobs/{quote(cid, safe='')}", pool.address), exchange)
+
+        def waited() -> None:
+            cancel()
+            exchange.done()
+
+        timer = self.deadlines.after(RECALL_WAIT, waited)
+
+        def over(result: None) -> None:
+            timer.cancel()
+
+        return done.addCallback(over)
+
+    def close(self) -> None:
+        """Drop every pool."""
+        for name in list(self.pools):
+            self.gone(name)
--- /dev/null
+++ b/elderstall/slots.py
@@ -0,0 +1,59 @@
+"""A table of numbered slots: a number is a slot and its generation, so a stale number finds nothing."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Generic, TypeVar
+
+T = TypeVar("T")
+SLOT_BITS = 16
+SLOT_MASK = (1 << SLOT_BITS) - 1
+
+
+class Slots(Generic[T]):
+    """Items by number; a freed slot is used again under the next generation."""
+
+    def __init__(self, most: int = SLOT_MASK) -> None:
+        self.most = min(most, SLOT_MASK)
+        self.items: list[T | None] = []
+        self.generations: list[int] = []
+        self.free: list[int] = []
+
+    def __len__(self) -> int:
+        return len(self.items) - len(self.free)
+
+    def __iter__(self) -> Iterator[T]:
+        return iter([item for item in self.items if item is not None])
+
+    @property
+    def full(self) -> bool:
+        """Whether no more items fit."""
+        return not self.free and len(self.items) >= self.most
+
+    def add(self, item: T) -> int:
+        """Store an item and give its number."""
+        if self.free:
+            slot = self.free.pop()
+        elif len(self.items) < self.most:
+            slot = len(self.items)
+            self.items.append(None)
+            self.generations.append(0)
+        else:
+            raise OverflowError("no slot is free")
+        self.generations[slot] += 1
+        self.items[slot] = item
+        return self.generations[slot] << SLOT_BITS | slot
+
+    def get(self, number: int) -> T | None:
+        """Give the item of a number, if it is still there."""
+        slot = number & SLOT_MASK
+        if slot >= len(self.items) or self.generations[slot] != number >> SLOT_BITS:
+            return None
+        return self.items[slot]
+
+    def remove(self, number: int) -> None:
+        """Free the slot of a number; a stale number does nothing."""
+        if self.get(number) is not None:
+            slot = number & SLOT_MASK
+            self.items[slot] = None
+            self.free.append(slot)
