--- a/elderstall/app.py
+++ b/elderstall/app.py
@@ -14,6 +14,7 @@
 from elderstall.log import Log
 from elderstall.net.discovery import Discovery, WatchConnection
 from elderstall.net.server import Server
+from elderstall.net.sse import ProgressServer, StreamWorkers
 from elderstall.net.workers import WorkerConnection, Workers
 
 SERVE_FOR = 700.0  # ms after SIGTERM for which new jobs are still taken
@@ -30,7 +31,8 @@
         self.deadlines = Deadlines(reactor)
         self.log = Log(self.deadlines.now)
         self.deadlines.failed = lambda error: self.log.failure("deadline", error)
-        self.workers = Workers(
+        carrier, listener = (StreamWorkers, ProgressServer) if config.progress.enabled else (Workers, Server)
+        self.workers = carrier(
             self.deadlines, self.connect_worker, self.log, config.report_fields, config.idle_ms,
             config.worker_connections)
         self.core = Core(config.settings, config.seed, self.deadlines, self.workers, self.log,
@@ -38,8 +40,10 @@
         self.discovery = Discovery(self.deadlines, self.log, self.connect_discovery, self.workers,
                                    self.core.listed, config.discovery, config.live_weights)
         self.core.follow = self.discovery.follow
-        self.server = Server(self.core, self.deadlines, self.log, self.workers.report_of,
-                             config.client_hard, config.client_soft)
+        self.server = listener(self.core, self.deadlines, self.log, self.workers.report_of,
+                               config.client_hard, config.client_soft)
+        if isinstance(self.server, ProgressServer):
+            self.server.setup = config.progress
         self.port: Any = None
         self.stopping = False
 
--- a/elderstall/core.py
+++ b/elderstall/core.py
@@ -112,7 +112,7 @@
     worker: str
     sent: float
     ends: float
-    taken: bool = False  # the worker said that it will call back
+    taken: bool = False  # the worker has said that it has the job
     sending: Deferred[Outcome | None] | None = None
     timer: Deadline | None = None
 
@@ -337,6 +337,7 @@
     def noted(self, a: Attempt, share: float, text: str = "", started: bool = False) -> None:
         """Pass on the progress of a live attempt."""
         if a.job.attempt is a:
+            a.taken = True
             self.feed(i.AttemptNoted(a.job.number, a.number, a.worker, share, started))
             if not a.job.closed and not started:
                 a.job.client.progressed(share, text)
@@ -367,11 +368,11 @@
         if job.attempt is not a:
             return
         self.detach(a, ending)
+        if a.sending is not None:
+            a.sending.cancel()
         if a.taken:
             job.recalls += 1
             self.carrier.recall(a.worker, job.ask.cid).addBoth(self.recalled, job)
-        elif a.sending is not None:
-            a.sending.cancel()
         self.feed(i.AttemptEnded(job.number, a.number, a.worker, ending, job.closed))
 
     def recalled(self, _: object, job: Job) -> None:
--- a/elderstall/net/server.py
+++ b/elderstall/net/server.py
@@ -6,6 +6,7 @@
 import math
 from collections.abc import Callable
 from typing import Any
+from typing import Protocol as Shape
 from urllib.parse import parse_qs, urlsplit
 
 from twisted.internet.interfaces import IPushProducer
@@ -13,7 +14,17 @@
 from twisted.python.failure import Failure
 from zope.interface import implementer
 
-from elderstall.core import Answer, Ask, Core, Outcome, Refused, RepeatedIdError, Served, TooManyJobsError
+from elderstall.core import (
+    Answer,
+    Ask,
+    Client,
+    Core,
+    Outcome,
+    Refused,
+    RepeatedIdError,
+    Served,
+    TooManyJobsError,
+)
 from elderstall.deadlines import Deadline, Deadlines
 from elderstall.interface import Ending
 from elderstall.log import Log
@@ -28,6 +39,13 @@
 ReportOf = Callable[[object], tuple[float, ...]]
 
 
+class Stream(Shape):
+    """What waits for its client to read on."""
+
+    def flush(self) -> None:
+        """Write what has waited."""
+
+
 class RequestError(Exception):
     """A request that gets its answer here; it reaches neither module nor worker."""
 
@@ -112,6 +130,7 @@
         self.reason = "peer-closed"
         self.timer: Deadline | None = None
         self.close_after = False
+        self.stream: Stream | None = None  # of the job that is out, where its client asked for events
 
     def connectionMade(self) -> None:  # noqa: N802, D102
         self.transport.setTcpNoDelay(True)
@@ -204,9 +223,11 @@
         self.busy, self.job = False, None
         if close:
             self.linger(self.server.close_reason())
-            return
-        self.wait(self.server.idle_for, "idle")
-        self.step()
+        elif self.blocked:
+            self.watch_reading()
+        else:
+            self.wait(self.server.idle_for, "idle")
+            self.step()
 
     def finish(self, status: int, reason: str, body: bytes) -> None:
         """Answer what is no request, and close."""
@@ -220,11 +241,18 @@
         if self.paused:
             self.paused = False
             self.transport.resumeProducing()
+        if self.blocked:
+            self.watch_reading()  # it closes once the peer has read its answer
+        else:
+            self.finish_closing()
+
+    def finish_closing(self) -> None:
+        """Close our side."""
         self.transport.unregisterProducer()
         self.transport.loseWriteConnection()
         if self.timer is not None:
             self.timer.cancel()
-        self.timer = self.server.deadlines.after(LINGER, self.end, reason)
+        self.timer = self.server.deadlines.after(LINGER, self.end, self.reason)
 
     def end(self, reason: str) -> None:
         """Close the connection."""
@@ -257,6 +285,11 @@
     def pauseProducing(self) -> None:  # noqa: N802
         """Stop answering while the peer does not read; it has so long to take what is there."""
         self.blocked = True
+        if not self.busy:  # else the job's own deadline bounds the wait
+            self.watch_reading()
+
+    def watch_reading(self) -> None:
+        """Give the peer so long to take its answer."""
         if self.timer is not None:
             self.timer.cancel()
         self.timer = self.server.deadlines.after(self.server.write_for, self.stuck)
@@ -269,11 +302,13 @@
     def resumeProducing(self) -> None:  # noqa: N802, D102
         if self.blocked:
             self.blocked = False
-            if not self.busy:
+            if self.stream is not None:
+                self.stream.flush()
+            if self.closing:
+                self.finish_closing()
+            elif not self.busy:
                 self.wait(self.server.idle_for, "idle")
-            elif self.timer is not None:
-                self.timer.cancel()
-            self.step()
+                self.step()
 
     def stopProducing(self) -> None:  # noqa: N802, D102
         pass
@@ -370,9 +405,13 @@
         self.submit(c, message, ask)
 
     def submit(self, c: ServerConnection, message: http.Message, ask: Ask) -> None:
+        """Hand a job in for a plain answer."""
+        self.enter(c, c, ask)
+
+    def enter(self, c: ServerConnection, client: Client, ask: Ask) -> None:
         """Hand a job to the core."""
         try:
-            number = self.core.take(ask, c)
+            number = self.core.take(ask, client)
         except RepeatedIdError:
             raise RequestError(400, "a job with this X-Call-Id is live") from None
         except TooManyJobsError:
--- /dev/null
+++ b/elderstall/net/sse.py
@@ -0,0 +1,298 @@
+"""The second front: server-sent events for progress, from a worker through to the client.
+
+Same core, same deadlines, same rules. A worker answers a job with a ``text/event-stream`` of ``progress``
+events and one ``result`` or ``error``; a worker that answers 202 and calls back serves as well. A client that
+accepts the format gets progress as it comes, and one closing event.
+"""
+
+from __future__ import annotations
+
+import codecs
+import json
+from collections import OrderedDict
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from typing import Any
+
+from twisted.internet.defer import Deferred
+
+from elderstall.config import Progress
+from elderstall.core import Answer, Ask, Failed, Outcome, Refused, Served
+from elderstall.interface import Ending
+from elderstall.net import http
+from elderstall.net.server import RequestError, Server, ServerConnection
+from elderstall.net.workers import Pool, Posted, Workers
+
+MEDIA_TYPE = "text/event-stream"
+EVENT_MOST = http.MAX_BODY  # characters of one event, as of one body
+AFTER_RESULT = 1_000.0  # ms for a worker's stream to end after its last event
+
+
+@dataclass(slots=True, frozen=True)
+class ServerEvent:
+    """One event of a stream."""
+
+    event: str
+    data: str
+    last_id: str = ""
+
+
+class EventParser:
+    """WHATWG's event stream, split anywhere: UTF-8, any line end, comments, several data lines.
+
+    An event that no empty line closes is never given.
+    """
+
+    def __init__(self) -> None:
+        self.decoder = codecs.getincrementaldecoder("utf-8")(errors="replace")
+        self.line: list[str] = []
+        self.after_cr = self.begun = False
+        self.event, self.last_id = "", ""
+        self.data: list[str] = []
+        self.size = 0
+        self.retry: int | None = None
+
+    def feed(self, data: bytes) -> Iterator[ServerEvent]:
+        """Take bytes and give the events they complete."""
+        text = self.decoder.decode(data)
+        if text and not self.begun:
+            self.begun = True
+            text = text.removeprefix("\ufeff")
+        at = 0
+        while at < len(text):
+            if self.after_cr:
+                self.after_cr = False
+                if text[at] == "\n":
+                    at += 1
+                    continue
+            ends = [n for n in (text.find("\r", at), text.find("\n", at)) if n >= 0]
+            end = min(ends, default=len(text))
+            self.grow(end - at)
+            self.line.append(text[at:end])
+            if not ends:
+                break
+            self.after_cr = text[end] == "\r"
+            at = end + 1
+            line = "".join(self.line)
+            self.line.clear()
+            if line:
+                self.field(line)
+            elif (event := self.dispatch()) is not None:
+                yield event
+
+    def grow(self, by: int) -> None:
+        """Bound what one event may hold."""
+        self.size += by
+        if self.size > EVENT_MOST:
+            raise http.MessageError(502, "event too long")
+
+    def field(self, line: str) -> None:
+        """Take one line that is not empty."""
+        name, _, value = line.partition(":")
+        value = value.removeprefix(" ")
+        if name == "event":
+            self.event = value
+        elif name == "data":
+            self.data.append(value)
+        elif name == "id" and "\0" not in value:
+            self.last_id = value
+        elif name == "retry" and value.isascii() and value.isdigit():
+            self.retry = int(value)
+        elif not name:  # a comment counts for nothing, however many keep a stream alive
+            self.size -= len(line)
+
+    def dispatch(self) -> ServerEvent | None:
+        """Give the event that an empty line closes; one without data is none."""
+        event, data = self.event or "message", "\n".join(self.data)
+        given = bool(self.data)
+        self.event, self.size = "", 0
+        self.data.clear()
+        return ServerEvent(event, data, self.last_id) if given else None
+
+
+def written(event: str, data: str, event_id: str = "") -> bytes:
+    """Write an event; the format knows one line end inside data, so others become it."""
+    lines = data.replace("\r\n", "\n").replace("\r", "\n").split("\n")
+    fields = ([f"id: {event_id}"] if event_id else []) + [f"event: {event}", *(f"data: {x}" for x in lines)]
+    return ("\n".join(fields) + "\n\n").encode("utf-8", "replace")
+
+
+def accepts_stream(message: http.Message) -> bool:
+    """Say whether a client asks for the format by name."""
+    types = [word.split(";", 1)[0].strip() for word in message.headers.tokens("Accept")]
+    return MEDIA_TYPE in types
+
+
+def share_of(data: str) -> float:
+    """Read the part done from a progress event's data; one that tells none counts as 0."""
+    try:
+        value: Any = json.loads(data)
+    except (ValueError, RecursionError):
+        return 0.0
+    if isinstance(value, dict):
+        value = value.get("share")
+    good = isinstance(value, int | float) and not isinstance(value, bool) and 0 <= value <= 1
+    return float(value) if good else 0.0
+
+
+# ---- the worker's side ----
+
+
+class Streamed(Posted):
+    """The exchange of one job whose answer may be a stream."""
+
+    def __init__(self, workers: Workers, done: Deferred[Outcome | None], note: Callable[[float, str], None],
+                 ) -> None:
+        super().__init__(workers, done)
+        self.note = note
+        self.events: EventParser | None = None
+        self.ended = False
+        self.stop: Callable[[], None] = lambda: None
+
+    def head(self, message: http.Message) -> None:
+        """Take the head: a stream, or an answer of the platform's protocol."""
+        super().head(message)
+        kinds = message.headers.tokens("Content-Type")
+        if message.status == 200 and kinds and kinds[0].split(";")[0].strip() == MEDIA_TYPE:
+            self.events = EventParser()
+
+    def data(self, data: bytes) -> None:
+        """Take a piece of the stream; after the last event nothing counts."""
+        if self.events is None or self.ended:
+            return
+        for event in self.events.feed(data):
+            if event.event == "progress":
+                self.note(share_of(event.data), event.data)
+            elif event.event == "result":
+                self.over(Outcome(Ending.SERVED, event.data.encode("utf-8", "replace")))
+            elif event.event == "error":
+                self.over(Outcome(Ending.ERROR))
+            if self.ended:
+                break
+
+    def over(self, outcome: Outcome) -> None:
+        """Give the attempt's end; the connection has a little time to finish the answer."""
+        if not self.ended:
+            self.ended = True
+            if self.events is not None:
+                self.workers.deadlines.after(AFTER_RESULT, lambda: self.stop())
+            if not self.fired.called:
+                self.fired.callback(outcome)
+
+    def done(self) -> None:
+        """Take the answer's end: a stream that ends without a result was broken off."""
+        if self.events is not None:
+            self.over(Outcome(Ending.BROKEN))
+        else:
+            super().done()
+
+    def broke(self, written: bool) -> None:
+        """Take the connection's end: once a stream has begun, its job may have run."""
+        if self.events is not None:
+            self.over(Outcome(Ending.BROKEN))
+        else:
+            super().broke(written)
+
+
+class StreamWorkers(Workers):
+    """The carrier that asks workers for streams."""
+
+    def begin(self, pool: Pool, ask: Ask, budget: float, note: Callable[[float, str], None],
+              done: Deferred[Outcome | None]) -> Callable[[], None]:
+        """Start the exchange of a job; its body is passed on as it comes, so no limit holds for the whole."""
+        exchange = Streamed(self, done, note)
+        request = self.job_request(ask, pool.address, budget, MEDIA_TYPE)
+        exchange.stop = pool.begin(request, exchange, max_body=0)
+        return exchange.stop
+
+
+# ---- the client's side ----
+
+
+class ClientStream:
+    """The client of one job that asked for events."""
+
+    def __init__(self, connection: ServerConnection, cid: str, chunked: bool, setup: Progress) -> None:
+        self.connection, self.cid, self.chunked, self.setup = connection, cid, chunked, setup
+        self.begun = False
+        self.count = 0
+        self.pending: str | None = None  # the newest progress, while the client does not read
+
+    def write(self, data: bytes) -> None:
+        """Write a piece of the stream."""
+        self.connection.transport.write(http.chunk(data) if self.chunked else data)
+
+    def event(self, name: str, data: str) -> None:
+        """Write an event, after the head if it is the first."""
+        first = b""
+        if not self.begun:
+            self.begun = True
+            fields = [("Content-Type", MEDIA_TYPE), ("Cache-Control", "no-store")]
+            fields.append(("Transfer-Encoding", "chunked") if self.chunked else ("Connection", "close"))
+            self.connection.transport.write(http.head_of("HTTP/1.1 200 OK", fields))
+            first = f"retry: {self.setup.retry_ms}\n".encode()
+        self.count += 1
+        self.write(first + written(name, data, f"{self.cid}/{self.count}"))
+
+    def progressed(self, share: float, text: str) -> None:
+        """Pass progress on; while the client does not read, only the newest is kept."""
+        self.pending = text or json.dumps({"share": share})
+        self.flush()
+
+    def flush(self) -> None:
+        """Write the progress that has waited, if the client reads."""
+        if self.pending is not None and not self.connection.blocked:
+            data, self.pending = self.pending, None
+            self.event("progress", data)
+
+    def answered(self, answer: Answer) -> None:
+        """Give the one final answer: plain where no event has gone out and none must, else an event."""
+        self.pending = None
+        self.connection.stream = None
+        if isinstance(answer, Served):
+            self.event("result", answer.result.decode("utf-8", "replace"))
+        elif not self.begun:
+            self.connection.answered(answer)
+            return
+        elif isinstance(answer, Refused):
+            self.event("error", json.dumps({"status": 503, "retry_after_ms": answer.retry_after}))
+        else:
+            late = isinstance(answer, Failed) and answer.late
+            self.event("error", json.dumps({"status": 504 if late else 502}))
+        if self.chunked:
+            self.write(b"")
+        connection = self.connection
+        connection.over(not self.chunked or connection.close_after or connection.server.closes(connection))
+
+
+class ProgressServer(Server):
+    """The listener with the second front on."""
+
+    setup = Progress(enabled=True)
+
+    def __init__(self, *args: Any, **named: Any) -> None:
+        super().__init__(*args, **named)
+        self.begun: OrderedDict[str, None] = OrderedDict()  # ids of the latest jobs that were streamed
+
+    def submit(self, c: ServerConnection, message: http.Message, ask: Ask) -> None:
+        """Hand a job in, with a stream for its client if that is asked for.
+
+        Guards against a job that runs again because its client's stream broke: a reconnect is answered
+        204, which by the format's rules ends the client's attempts.
+        """
+        if message.headers.all("Last-Event-ID") or ask.cid in self.begun:
+            c.reply(204)
+            return
+        if not accepts_stream(message):
+            super().submit(c, message, ask)
+            return
+        c.transport.bufferSize = self.setup.coalesce_bytes
+        c.stream = ClientStream(c, ask.cid, message.version >= (1, 1), self.setup)
+        try:
+            self.enter(c, c.stream, ask)
+        except RequestError:
+            c.stream = None
+            raise
+        self.begun[ask.cid] = None
+        while len(self.begun) > self.setup.remember:
+            self.begun.popitem(last=False)
