Test the wire with scenarios in memory: outcomes, limits, drains, discovery

tests/scenario.py is a language of send, expect, close and wait over in-memory transports and task.Clock, on unittest; test_wire.py holds the scenarios by the protocol's table of outcomes, test_http.py the parser, slots, heap, log and config.

--- /dev/null
+++ b/tests/test_http.py
@@ -0,0 +1,158 @@
+"""The parser takes messages split anywhere and keeps its bounds."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import settings as tune
+from hypothesis import strategies as st
+from twisted.internet.task import Clock
+
+from elderstall.config import ConfigError, config_of, progress_of
+from elderstall.deadlines import Deadlines
+from elderstall.log import Log
+from elderstall.net import http
+from elderstall.net.buffer import Buffer
+from elderstall.slots import Slots
+from tests.scenario import platform
+
+Whole = tuple[str, str, bytes]
+
+
+def parse(parser: http.Parser, pieces: list[bytes]) -> list[Whole]:
+    got: list[Whole] = []
+    message, body = http.Message((1, 1), http.Headers()), b""
+    for piece in pieces:
+        parser.feed(piece)
+        while (event := parser.next()) is not None:
+            if isinstance(event, http.Head):
+                message, body = event.message, b""
+            elif isinstance(event, http.Data):
+                body += event.data
+            else:
+                got.append((message.method, message.target, body))
+    return got
+
+
+@tune(deadline=None, derandomize=True)
+@given(bodies=st.lists(st.tuples(st.binary(max_size=200), st.booleans()), max_size=4),
+       cuts=st.lists(st.integers(1, 30), max_size=80))
+def test_messages_split_anywhere(bodies: list[tuple[bytes, bool]], cuts: list[int]) -> None:
+    raw = b""
+    for body, chunked in bodies:
+        if chunked:
+            raw += http.head_of("POST /x HTTP/1.1", [("Transfer-Encoding", "chunked")])
+            raw += b"".join(http.chunk(body[n:n + 50]) for n in range(0, len(body), 50)) + http.chunk(b"")
+        else:
+            raw += http.request("POST", "/x", "h", (), body)
+    pieces, at = [], 0
+    for cut in [*cuts, len(raw)]:
+        pieces.append(raw[at:at + cut])
+        at += cut
+    assert parse(http.Parser(), pieces) == [("POST", "/x", body) for body, _ in bodies]
+
+
+@tune(deadline=None, derandomize=True)
+@given(noise=st.lists(st.binary(max_size=60), max_size=8), responses=st.booleans())
+def test_noise_raises_only_what_is_answered(noise: list[bytes], responses: bool) -> None:
+    try:
+        parse(http.Parser(responses=responses), noise)
+    except http.MessageError as error:
+        assert 400 <= error.status < 600
+
+
+@pytest.mark.parametrize("head", [
+    "Content-Length: 1\r\nContent-Length: 2", "Content-Length: -1", "Content-Length: +1", "Content-Length:",
+    "Transfer-Encoding: gzip", "Transfer-Encoding: chunked, chunked", "A b: c", "NoColon", " folded: x",
+    "Transfer-Encoding: chunked\r\nContent-Length: 3", "X: a\x00b"])
+def test_framing_that_two_readers_could_read_differently_is_refused(head: str) -> None:
+    with pytest.raises(http.MessageError):
+        parse(http.Parser(), [f"POST / HTTP/1.1\r\n{head}\r\n\r\n".encode()])
+
+
+def test_a_response_without_length_ends_with_its_connection() -> None:
+    parser = http.Parser(responses=True)
+    assert parse(parser, [b"HTTP/1.1 200 OK\r\n\r\nabc"]) == []
+    assert isinstance(parser.eof(), http.End)
+    parser = http.Parser(responses=True)
+    parse(parser, [b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc"])
+    assert parser.eof() is None
+
+
+def test_the_buffer_is_compacted_in_place() -> None:
+    buffer = Buffer()
+    for _ in range(2_000):
+        buffer.append(b"x" * 100)
+        assert buffer.take(99) == b"x" * 99
+    assert len(buffer) == 2_000
+    assert len(buffer.data) < 20_000
+
+
+def test_a_freed_slot_is_used_again_under_another_number() -> None:
+    slots: Slots[str] = Slots(2)
+    first, second = slots.add("a"), slots.add("b")
+    assert slots.full
+    slots.remove(first)
+    third = slots.add("c")
+    slots.remove(first)
+    assert (slots.get(first), slots.get(second), slots.get(third)) == (None, "b", "c")
+    assert (len(slots), sorted(slots)) == (2, ["b", "c"])
+    with pytest.raises(OverflowError):
+        slots.add("d")
+
+
+def test_deadlines_run_in_order_behind_one_call_and_survive_a_failure() -> None:
+    clock, got, errors = Clock(), list[object](), list[BaseException]()
+    deadlines = Deadlines(clock, clock.seconds, 0.0)
+    deadlines.failed = errors.append
+    deadlines.after(30, got.append, "c")
+    deadlines.after(10, got.append, "a")
+    deadlines.after(10, [].pop)
+    deadlines.after(20, got.append, "never").cancel()
+    deadlines.after(15, lambda: deadlines.after(0, got.append, "b"))
+    assert len(clock.getDelayedCalls()) == 1
+    for _ in range(40):
+        clock.advance(0.001)
+    assert (got, len(errors), clock.getDelayedCalls()) == (["a", "b", "c"], 1, [])
+
+
+def test_the_log_is_bounded_and_counts_what_it_holds_back() -> None:
+    clock, lines = [0.0], list[str]()
+    log = Log(lambda: clock[0], lines_per_s=1, burst=2)
+    log.print = lambda now, code, text: lines.append(f"{code} {text}")  # type: ignore[method-assign]
+    for n in range(5):
+        log.ended("client", n, "idle")
+    clock[0] = 3_000.0
+    log.write("start", "again")
+    assert lines == ["end:idle client 0", "end:idle client 1", "suppressed end:idle=3", "start again"]
+
+
+@pytest.mark.parametrize("path,value,key", [
+    ("listen", "nowhere", "listen"), ("discovery", "a:b", "discovery"), ("seed", "xyz", "seed"),
+    ("settings", None, "settings"), ("known", {"index": 1}, "known"),
+    ("limits", {"sockets": 3}, "limits.sockets"),
+    ("limits", [], "limits"), ("settings.classes", [{"name": "x"}], "settings"), ("name", 5, "name"),
+    ("settings.limits.conn_idle", "long", "settings.limits.conn_idle"),
+])
+def test_a_faulty_key_is_named(path: str, value: Any, key: str) -> None:
+    raw = platform()
+    at, names = raw, path.split(".")
+    for name in names[:-1]:
+        at = at[name]
+    at[names[-1]] = value
+    with pytest.raises(ConfigError, match=f"^{key}"):
+        config_of(raw, {})
+
+
+def test_the_operators_file_is_checked(tmp_path: Any) -> None:
+    path = tmp_path / "front.toml"
+    for text, key in (("[progress]\nenabled = 3", "enabled"), ("[progress]\nodd = 1", "odd"),
+                      ("x = 1", "front.x"),
+                      ("[progress]\nremember = -4", "remember")):
+        path.write_text(text)
+        with pytest.raises(ConfigError, match=key):
+            progress_of(str(path))
+    assert progress_of("deploy/progress.toml").enabled
+    assert not progress_of(None).enabled
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,472 @@
+"""Scenarios of the platform's protocol; the language is in scenario.py."""
+
+from __future__ import annotations
+
+from tests.scenario import Scenario
+
+
+class Jobs(Scenario):
+    """The life of a job, by the protocol's table of outcomes."""
+
+    def test_a_job_is_served_by_a_call_back_and_its_connection_reused(self) -> None:
+        self.play("""
+            c send job a1 deck-fetch
+            w expect POST a1
+            w send 202
+            c expect nothing
+            w send call done a1 hello
+            c expect 200 hello
+            c send job a2 deck-fetch
+            w expect POST a2
+            w send 202
+            w send call done a2 again
+            c expect 200 again
+        """)
+        self.assertEqual(1, len(self.world.workers))
+
+    def test_a_call_back_may_come_before_the_202_and_the_connection_is_busy_until_then(self) -> None:
+        self.play("""
+            c send job a1 deck-fetch
+            w expect POST a1
+            w send call done a1 early
+            c expect 200 early
+            c send job a2 deck-fetch
+            w2 expect POST a2
+            w send 202
+        """)
+        self.assertEqual(2, len(self.world.workers))
+
+    def test_call_backs_that_match_no_live_attempt_count_for_nothing(self) -> None:
+        """Guards against late, repeated and foreign call-backs."""
+        self.play("""
+            c send job a1 deck-build
+            w expect POST a1
+            w send 202
+            w send call done a1 stolen from=w9
+            w send call done zz lost
+            c expect nothing
+            w send call running a1
+            w send call odd a1
+            w send call done a1 mine
+            c expect 200 mine
+            w send call done a1 mine
+            w send call lost a1
+            c expect nothing
+        """)
+
+    def test_a_rejected_job_goes_elsewhere_and_an_error_ends_an_unsafe_one(self) -> None:
+        self.play("""
+            c send job a1 deck-build
+            w expect POST a1
+            w send 503 X-Rejected: 1
+            w expect POST a1
+            w send 500
+            c expect 502
+            w expect nothing
+        """, workers=2)
+
+    def test_a_503_without_the_mark_may_have_run(self) -> None:
+        self.play("""
+            c send job a1 deck-build
+            w expect POST a1
+            w send 503
+            c expect 502
+            w expect nothing
+        """, workers=2)
+
+    def test_a_job_handed_back_unstarted_goes_on(self) -> None:
+        self.play("""
+            c send job a1 deck-build
+            w expect POST a1
+            w send 202
+            w send call returned a1
+            w expect POST a1
+            w send 202
+            w send call failed a1
+            c expect 502
+        """, workers=2)
+
+    def test_a_lost_job_is_sent_again_only_if_its_class_is_safe(self) -> None:
+        self.play("""
+            c send job a1 deck-fetch
+            w expect POST a1
+            w send 202
+            w send call lost a1
+            w expect POST a1
+            w send 202
+            w send call done a1 second
+            c expect 200 second
+            c send job a2 deck-build
+            w expect POST a2
+            w send 202
+            w send call lost a2
+            c expect 502
+            w expect nothing
+        """, workers=2)
+
+    def test_a_break_before_the_202_may_have_run(self) -> None:
+        """Guards against a resend over a stale connection: written is not proof that nothing ran."""
+        self.play("""
+            c send job a1 deck-build
+            w expect POST a1
+            w close
+            c expect 502
+            w expect nothing
+        """, workers=2)
+
+    def test_a_break_before_the_last_byte_was_written_proves_it_never_ran(self) -> None:
+        self.begin(workers=2)
+        connect = self.world.connect
+
+        def stalled(address: str, factory: object) -> object:
+            done = connect(address, factory)
+            self.world.app.workers.connect = connect
+            return done
+
+        self.play("c send job a0 deck-fetch\nw expect POST a0\nw send 202\nw send call done a0")
+        self.world.app.workers.connect = stalled  # type: ignore[assignment]
+        wire = self.world.workers[0].wire
+        self.play("w close reading\nc expect 200\nc send job a1 deck-build")
+        if wire.unread:  # the rotation chose the connection whose peer does not read
+            wire.lose()
+            self.play("w2 expect POST a1")
+            self.world.workers[0].messages.clear()
+        self.play("c expect nothing")
+
+    def test_a_refused_connection_never_ran(self) -> None:
+        self.play("""
+            w close listener
+            c send job a1 deck-build budget=400
+            c expect nothing
+            wait 450
+            c expect 503
+        """)
+
+    def test_a_connection_that_never_comes_up_never_ran(self) -> None:
+        self.play("""
+            w close silent
+            c send job a1 deck-build budget=900
+            wait 1000
+            c expect 503
+            log expect connect
+        """)
+
+    def test_bad_bytes_of_a_worker_end_the_attempt(self) -> None:
+        self.play("""
+            c send job a1 deck-build
+            w expect POST a1
+            w send raw HTTP/1.1 two hundred\\r\\n\\r\\n
+            c expect 502
+            log expect end:bad-answer
+        """)
+
+    def test_a_time_out_gives_the_attempt_up_and_answers_by_the_deadline(self) -> None:
+        self.play("""
+            c send job a1 deck-build budget=700
+            w expect POST a1
+            w send 202
+            wait 695
+            c expect nothing
+            wait 10
+            c expect 504
+            w expect DELETE a1
+        """)
+
+    def test_a_time_out_before_the_202_closes_the_connection(self) -> None:
+        self.play("""
+            c send job a1 deck-fetch budget=300
+            w expect POST a1
+            wait 310
+            c expect 503
+            w expect nothing
+            log expect end:given-up
+        """)
+
+    def test_a_client_that_goes_has_its_job_cancelled(self) -> None:
+        self.play("""
+            c send job a1 deck-build
+            w expect POST a1
+            w send 202
+            c close
+            w expect DELETE a1
+            w send 200
+            log expect end:client-gone
+        """)
+        self.assertEqual(0, len(self.world.app.core.jobs))
+
+    def test_a_late_end_of_an_earlier_attempt_does_not_make_two_copies(self) -> None:
+        """Guards against 'lost' of a broken attempt being taken for the end of the live one."""
+        self.play("""
+            c send job a1 deck-fetch
+            w expect POST a1
+            w close
+            wait 130
+            w expect POST a1
+            w send 202
+            w send call lost a1
+            w expect DELETE a1
+            c expect nothing
+            w send 200
+            wait 150
+            c expect 503
+        """)
+
+    def test_the_hard_guard_answers_what_the_module_forgets(self) -> None:
+        self.begin()
+        self.world.app.core.module.handle = lambda now, event: []  # type: ignore[method-assign]
+        self.play("""
+            c send job a1 deck-fetch budget=300
+            wait 303
+            c expect nothing
+            wait 5
+            c expect 503
+            log expect guard
+        """)
+
+    def test_an_error_in_the_module_stops_neither_job_nor_program(self) -> None:
+        self.begin()
+
+        def fails(now: float, event: object) -> list[object]:
+            raise KeyError("no such thing")
+
+        self.world.app.core.module.handle = fails  # type: ignore[method-assign, assignment]
+        self.play("""
+            c send job a1 deck-fetch budget=300
+            wait 310
+            c expect 503
+            log expect bug
+        """)
+
+
+class Connections(Scenario):
+    """Pools, parsing and bounded memory."""
+
+    def test_idle_connections_retire_before_the_worker_closes_them(self) -> None:
+        self.play("""
+            c send job a1 deck-fetch
+            w expect POST a1
+            w send 202
+            w send call done a1
+            wait 7900
+            log expect start
+            wait 200
+            log expect end:idle
+        """)
+
+    def test_a_restart_drops_the_pool(self) -> None:
+        self.play("""
+            d send beat
+            c send job a1 deck-fetch
+            w expect POST a1
+            w send 202
+            w send call done a1
+            d send changes 42 w1=up@990000
+            c expect 200
+            c send job a2 deck-fetch
+            w expect POST a2
+        """)
+        self.assertEqual(2, len(self.world.workers))
+
+    def test_input_split_anywhere_is_read(self) -> None:
+        self.play("""
+            c send bytewise job a1 deck-fetch
+            w expect POST a1
+            w send 202
+            w send call done a1 hello
+            c expect 200 hello
+        """)
+
+    def test_pipelined_input_is_answered_in_order_and_bounded(self) -> None:
+        self.begin()
+        more = "".join(f"c send job b{n} deck-fetch\n" for n in range(300))
+        self.play(f"""
+            c send job a1 deck-fetch
+            c send raw GET /up HTTP/1.1\\r\\nHost: x\\r\\n\\r\\n
+            w expect POST a1
+            {more}
+            w send 202
+            w send call done a1 first
+            c expect 200 first
+            c expect 200 up
+            w expect POST b0
+        """)
+        self.assertTrue(self.world.peers["c"].wire.paused)
+
+    def test_a_slow_reader_is_dropped_in_the_end(self) -> None:
+        self.begin()
+        big = "x" * 40_000
+        self.play(f"""
+            c close reading
+            c send job a1 deck-fetch
+            w expect POST a1
+            w send 202
+            w send call done a1 {big}
+            c send job a2 deck-fetch
+            w expect POST a2
+            w send 202
+            w send call done a2 {big}
+            c send job a3 deck-fetch
+            w expect nothing
+            wait 20100
+            log expect end:slow-reader
+        """)
+
+    def test_bad_requests_reach_nobody(self) -> None:
+        head = "Host: x\\r\\nContent-Length: 0\\r\\n"
+        good = "X-Call-Id: i\\r\\nX-Call-Class: deck-fetch\\r\\nX-Caller: norte\\r\\nX-Budget-Ms: 50\\r\\n"
+        cases = {
+            "GARBAGE\\r\\n\\r\\n": 400,
+            f"POST /deck-fetch HTTP/1.1\\r\\n{head}Transfer-Encoding: chunked\\r\\n\\r\\n": 400,
+            f"POST /deck-fetch HTTP/1.1\\r\\n{head}Content-Length: 1\\r\\n\\r\\n": 400,
+            f"POST /deck-fetch HTTP/1.1\\r\\n{head}\\r\\n": 400,
+            f"POST /deck-fetch HTTP/1.1\\r\\n{head}{good.replace('norte', 'nobody')}\\r\\n": 400,
+            f"POST /deck-fetch HTTP/1.1\\r\\n{head}{good.replace('50', 'soon')}\\r\\n": 400,
+            f"POST /deck-fetch HTTP/1.1\\r\\n{head}{good}{good}\\r\\n": 400,
+            f"POST /deck-buy HTTP/1.1\\r\\n{head}{good}\\r\\n": 400,
+            f"POST /deck-fetch HTTP/1.1\\r\\n{good}\\r\\n": 400,
+            f"POST /nowhere HTTP/1.1\\r\\n{head}\\r\\n": 404,
+            f"GET /deck-fetch HTTP/1.1\\r\\n{head}{good}\\r\\n": 405,
+            f"DELETE /up HTTP/1.1\\r\\n{head}\\r\\n": 405,
+            f"GET /callback HTTP/1.1\\r\\n{head}\\r\\n": 405,
+            f"POST /callback HTTP/1.1\\r\\n{head}\\r\\n": 400,
+            "POST /deck-fetch HTTP/1.1\\r\\nHost: x\\r\\nContent-Length: 65537\\r\\n\\r\\n": 413,
+            "POST /deck-fetch HTTP/1.1\\r\\nHost: x\\r\\nTransfer-Encoding: chunked"
+            "\\r\\n\\r\\n10001\\r\\n": 413,
+            "POST /deck-fetch HTTP/2.0\\r\\nHost: x\\r\\n\\r\\n": 505,
+            f"GET /up HTTP/1.1\\r\\nHost: x\\r\\nX: {'y' * 17000}\\r\\n\\r\\n": 431,
+        }
+        for n, (text, status) in enumerate(cases.items()):
+            self.play(f"c{n} send raw {text}\nc{n} expect {status}\nw expect nothing")
+        self.assertEqual(0, len(self.world.app.core.jobs))
+
+    def test_a_live_id_is_not_taken_twice(self) -> None:
+        self.play("""
+            c send job a1 deck-fetch
+            w expect POST a1
+            c2 send job a1 deck-fetch
+            c2 expect 400 live
+            w expect nothing
+        """)
+
+    def test_over_the_limit_of_jobs_the_answer_is_503(self) -> None:
+        self.begin(limits={"max_open": 1})
+        self.play("""
+            c send job a1 deck-fetch
+            c2 send job a2 deck-fetch
+            c2 expect 503 Retry-After: 1
+        """)
+
+    def test_past_the_soft_limit_idle_clients_go_and_call_backs_still_come(self) -> None:
+        """Guards the descriptors for call-backs; an accepted connection is never dropped unread."""
+        self.begin(sockets=64)
+        hard = self.world.app.server.most
+        idle = "".join(f"c{n} send raw GET /up HTTP/1.1\\r\\nHost: x\\r\\n\\r\\n\n" for n in range(5))
+        rest = "".join(f"c{n} send raw P\n" for n in range(5, hard))
+        self.play(f"""
+            c99 send job a1 deck-fetch
+            w expect POST a1
+            w send 202
+            {idle}
+            {rest}
+            c0 expect 200
+            c0 expect closed
+            c98 send job a2 deck-fetch
+            c98 expect 503 Retry-After: 1
+            w send call done a1 hello
+            c99 expect 200 hello
+        """)
+
+    def test_sigterm_serves_on_then_refuses_and_ends_when_empty(self) -> None:
+        self.play("""
+            c send job a1 deck-build budget=4000
+            c2 send raw GET /up HTTP/1.1\\r\\nHost: x\\r\\n\\r\\n
+            c2 expect 200
+            w expect POST a1
+            w send 202
+            term send
+            c2 send raw GET /up HTTP/1.1\\r\\nHost: x\\r\\n\\r\\n
+            c2 expect 503
+            wait 600
+            c3 send job a2 deck-fetch
+            w2 expect POST a2
+            w2 send 202
+            wait 200
+            c4 send job a3 deck-fetch
+            c4 expect 503 Retry-After: 1
+            c4 expect closed
+            w2 send call done a2 two
+            c3 expect 200 two
+            c3 expect closed
+            wait 1500
+            term expect running
+            w send call done a1 one
+            c expect 200 one
+            c close
+            c3 close
+            c4 close
+            wait 300
+            term expect exit
+        """, workers=2)
+
+
+class Lists(Scenario):
+    """Discovery."""
+
+    def test_the_watch_starts_from_the_known_list_and_resumes(self) -> None:
+        self.play("""
+            d expect watch 41
+            d send changes 44 w2=up
+            d close
+            wait 400
+            d expect watch 44
+        """)
+        self.assertEqual({"w1", "w2"}, set(self.world.app.discovery.addresses))
+
+    def test_a_silent_watch_is_broken_and_opened_again(self) -> None:
+        """Guards the rule on drains: a watch that went silent must not hide a change for 6 s."""
+        self.play("""
+            d expect watch 41
+            d send beat
+            wait 2000
+            d send beat
+            wait 2900
+            d expect nothing
+            wait 400
+            d expect watch 41
+            log expect watch silent
+        """)
+
+    def test_bad_bytes_of_discovery_end_the_watch(self) -> None:
+        for n, bad in enumerate(("{oops", '{"index":1}', '{"index":1,"endpoints":[{"name":"x"}]}', "[1]")):
+            self.begin()
+            self.play("d expect watch 41\nd send beat")
+            self.play(f"d send raw {len(bad) + 1:x}\\r\\n{bad}\\n\\r\\nwait 400".replace("wait", "\nwait"))
+            with self.subTest(case=n):
+                self.play("d expect watch 41\nlog expect watch bad-list")
+
+    def test_discovery_that_is_down_is_asked_again(self) -> None:
+        self.play("""
+            d expect watch 41
+            d close listener
+            d close
+            wait 3000
+            log expect watch no-discovery
+        """)
+        del self.world.shut["d"]
+        self.play("wait 3000\nd expect watch 41")
+
+    def test_nothing_new_goes_to_a_draining_worker_and_its_jobs_finish(self) -> None:
+        self.play("""
+            d send beat
+            c send job a1 deck-build
+            w expect POST a1
+            w send 202
+            d send changes 42 w1=draining
+            c2 send job a2 deck-fetch
+            w expect nothing
+            w send call done a1 hello
+            c expect 200 hello
+            w expect nothing
+            wait 3000
+            c2 expect 503
+        """)
