--- a/elderstall/__main__.py
+++ b/elderstall/__main__.py
@@ -6,9 +6,10 @@
 import os
 import signal
 import sys
-from typing import Any
+from typing import Any, cast
 
 from twisted.internet import reactor
+from twisted.logger import ILogObserver, LogEvent, globalLogBeginner
 
 from elderstall.app import App
 from elderstall.config import ConfigError, load
@@ -34,6 +35,14 @@
         return 0
     loop: Any = reactor  # its type is known only at run time
     app = App(config, loop)
+
+    def observe(event: LogEvent) -> None:
+        if "log_failure" in event:
+            app.log.failure("twisted", event["log_failure"].value)
+
+    # Without an observer Twisted keeps events in memory and prints failures past the log's limit.
+    observer = cast(ILogObserver, observe)
+    globalLogBeginner.beginLoggingTo([observer], discardBuffer=True, redirectStandardIO=False)
     app.start()
     signal.signal(signal.SIGTERM, app.sigterm)
     signal.signal(signal.SIGINT, app.sigterm)
--- a/elderstall/net/server.py
+++ b/elderstall/net/server.py
@@ -81,7 +81,11 @@
 def ask_of(message: http.Message, core: Core) -> Ask:
     """Read a client's job, or say what is wrong with it."""
     headers = message.headers
-    url = urlsplit(message.target)
+    try:
+        url = urlsplit(message.target)
+        keys = parse_qs(url.query, max_num_fields=50).get("obj")
+    except ValueError:
+        raise RequestError(400, "bad target") from None
     path_class = url.path.lstrip("/").split("/", 1)[0]
     job_class = headers.get("X-Call-Class")
     if path_class not in core.classes and job_class is None:
@@ -102,7 +106,6 @@
     cost = number_of(headers.get("X-Call-Cost"), "X-Call-Cost")
     info = info_of(headers.get("X-Call-Info"))
     slots = number_of(info.get("cores_needed") or info.get("slots"), "X-Call-Info") or 1
-    keys = parse_qs(url.query, max_num_fields=50).get("obj")
     return Ask(cid, job_class, min(budget, BUDGET_MOST), message, tenant, keys[0] if keys else None,
                cost / 1000 if cost else None, int(slots))
 
@@ -175,6 +178,10 @@
                 self.take(event)
         except http.MessageError as error:
             self.finish(error.status, "bad-request", f"{error}\n".encode())
+        except Exception as error:
+            # Guards the other connections against a fault met in one request.
+            self.server.log.failure("request", error)
+            self.finish(500, "bug", b"internal error\n")
         finally:
             self.stepping = False
         full = (self.busy or self.blocked) and len(self.parser.buffer) > READ_AHEAD
--- a/elderstall/net/workers.py
+++ b/elderstall/net/workers.py
@@ -185,18 +185,21 @@
             connection = self.idle.pop()
             connection.start(request, exchange, max_body)
             return lambda: self.call_off(connection, exchange)
-        if self.workers.connections.full:
+        if len(self.workers.connections) + self.workers.opening >= self.workers.most:
             self.workers.log.write("limit", f"no descriptor for a connection to {self.name}")
             exchange.broke(False)
             return lambda: None
         state: dict[str, WorkerConnection] = {}
+        self.workers.opening += 1
         connecting = self.workers.connect(self.address, self)
 
         def up(connection: WorkerConnection) -> None:
+            self.workers.opening -= 1
             state["up"] = connection
             connection.start(request, exchange, max_body)
 
         def down(failure: Failure) -> None:
+            self.workers.opening -= 1
             if not isinstance(failure.value, CancelledError):
                 self.workers.log.write("connect", f"{self.name}: {type(failure.value).__name__}")
                 exchange.broke(False)
@@ -273,7 +276,8 @@
                  idle_for: float = 8_000.0, most: int = 300) -> None:
         self.deadlines, self.connect, self.log = deadlines, connect, log
         self.report_fields, self.idle_for = report_fields, idle_for
-        self.connections: Slots[WorkerConnection] = Slots(most)
+        self.connections: Slots[WorkerConnection] = Slots()
+        self.most, self.opening = most, 0  # those still coming up count too
         self.pools: dict[str, Pool] = {}
         self.started: dict[str, float | None] = {}
 
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,226 @@
+"""The program itself, started as the platform starts it and spoken to over sockets.
+
+Ports are the system's choice and every wait is for an event, so the verdict does not hang on speed.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import unittest
+from pathlib import Path
+from typing import Any
+
+from elderstall.net import http
+from tests.scenario import entry, platform
+
+ROOT = Path(__file__).parent.parent
+PATIENCE = 30.0  # s: only a program that hangs meets it
+
+
+class Line:
+    """A connection that reads whole messages."""
+
+    def __init__(self, sock: socket.socket, responses: bool) -> None:
+        self.sock, self.parser = sock, http.Parser(responses=responses, max_body=0)
+        sock.settimeout(PATIENCE)
+
+    def event(self) -> http.Event | None:
+        while (event := self.parser.next()) is None:
+            data = self.sock.recv(65536)
+            if not data:
+                return None
+            self.parser.feed(data)
+        return event
+
+    def read(self) -> http.Message:
+        message, body = http.Message((0, 0), http.Headers()), b""
+        while not isinstance(event := self.event(), http.End):
+            if event is None:
+                raise EOFError("the connection ended")
+            if isinstance(event, http.Head):
+                message = event.message
+            else:
+                body += event.data
+        message.body = body
+        return message
+
+
+class Peer:
+    """A listener on a port of the system's choice; each connection is served on a thread of its own."""
+
+    def __init__(self, serve: Any) -> None:
+        self.sock = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.sock.getsockname()[1]}"
+        self.serve = serve
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self) -> None:
+        while True:
+            try:
+                sock, _ = self.sock.accept()
+            except OSError:
+                return
+            threading.Thread(target=self.run, args=(sock,), daemon=True).start()
+
+    def run(self, sock: socket.socket) -> None:
+        try:
+            self.serve(Line(sock, responses=False))
+        except OSError:
+            pass
+        except EOFError:
+            sock.close()
+
+    def close(self) -> None:
+        self.sock.close()
+
+
+class Program(unittest.TestCase):
+    """One dispatcher, one worker and discovery on loopback."""
+
+    def setUp(self) -> None:
+        self.calls: list[str] = []
+        self.streams = False
+        self.seen = threading.Event()
+        self.worker = Peer(self.work)
+        self.discovery = Peer(self.watch)
+        self.addCleanup(self.worker.close)
+        self.addCleanup(self.discovery.close)
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            self.address = ("127.0.0.1", free.getsockname()[1])
+
+    def begin(self, *options: str) -> None:
+        raw = platform()
+        raw["known"]["endpoints"] = [entry("w1", address=self.worker.address)]
+        raw.update(listen=f"127.0.0.1:{self.address[1]}", discovery=self.discovery.address)
+        read, write = os.pipe()
+        env = {**os.environ, "RELAY_CONFIG": f"/dev/fd/{read}"}
+        os.write(write, json.dumps(raw).encode())
+        os.close(write)
+        self.program = subprocess.Popen(
+            [sys.executable, "-m", "elderstall", *options], cwd=ROOT, env=env, pass_fds=[read],
+            stderr=subprocess.PIPE, text=True)
+        os.close(read)
+        self.addCleanup(self.end)
+        assert self.program.stderr is not None
+        self.assertIn("listens on", self.program.stderr.readline())
+        threading.Thread(target=self.drain_log, daemon=True).start()
+
+    def drain_log(self) -> None:
+        assert self.program.stderr is not None
+        for line in self.program.stderr:
+            self.calls.append(line)
+
+    def end(self) -> None:
+        if self.program.poll() is None:
+            self.program.kill()
+        self.program.wait()
+        assert self.program.stderr is not None
+        self.program.stderr.close()
+
+    def watch(self, line: Line) -> None:
+        line.read()
+        head = http.head_of("HTTP/1.1 200 OK", [("Transfer-Encoding", "chunked")])
+        body = json.dumps({"index": 42, "snapshot": False, "endpoints": []}).encode()
+        line.sock.sendall(head + http.chunk(body + b"\n"))
+        line.read()
+
+    def work(self, line: Line) -> None:
+        while True:
+            message = line.read()
+            cid = message.headers.get("X-Call-Id") or message.target
+            self.calls.append(f"{message.method} {cid}")
+            if self.streams:
+                head = [("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")]
+                line.sock.sendall(http.head_of("HTTP/1.1 200 OK", head))
+                line.sock.sendall(http.chunk(b'event: progress\ndata: {"share":0.5}\n\n'))
+                if cid == "drop":
+                    raise EOFError
+                if cid == "stall":
+                    line.read()
+                line.sock.sendall(http.chunk(b"event: result\ndata: a deck\n\n") + http.chunk(b""))
+                continue
+            line.sock.sendall(http.response(202))
+            if cid == "held":
+                self.seen.set()
+            if message.method == "POST" and cid not in ("held", "never"):
+                self.call_back(cid)
+
+    def call_back(self, cid: str) -> None:
+        call = {"id": cid, "from": "w1", "state": "done", "result": f"deck {cid}"}
+        answer = self.ask(http.request("POST", "/callback", "x", (), json.dumps(call).encode()))
+        assert answer.status == 204, answer.status
+
+    def connect(self) -> Line:
+        return Line(socket.create_connection(self.address, PATIENCE), responses=True)
+
+    def ask(self, request: bytes) -> http.Message:
+        line = self.connect()
+        with line.sock:
+            line.sock.sendall(request)
+            return line.read()
+
+    def job(self, cid: str, job_class: str = "deck-fetch", budget: int = 20_000,
+            *more: tuple[str, str]) -> bytes:
+        fields = [("X-Call-Id", cid), ("X-Call-Class", job_class), ("X-Caller", "norte"),
+                  ("X-Budget-Ms", str(budget)), *more]
+        return http.request("POST", f"/{job_class}?obj=1", "x", fields, b"body")
+
+    def test_jobs_are_served_and_sigterm_ends_the_program_in_order(self) -> None:
+        self.begin()
+        self.assertEqual(200, self.ask(http.request("GET", "/up", "x")).status)
+        line = self.connect()
+        for cid in ("a1", "a2", "a3"):
+            line.sock.sendall(self.job(cid))
+            answer = line.read()
+            self.assertEqual((200, f"deck {cid}".encode()), (answer.status, answer.body))
+        line.sock.sendall(self.job("held", "deck-build"))
+        self.assertTrue(self.seen.wait(PATIENCE))
+        self.program.send_signal(signal.SIGTERM)
+        while self.ask(http.request("GET", "/up", "x")).status != 503:
+            pass
+        while b"shutting down" not in self.ask(self.job("late", "deck-fetch", 1)).body:
+            pass
+        self.call_back("held")
+        self.assertEqual(b"deck held", line.read().body)
+        line.sock.close()
+        self.assertEqual(0, self.program.wait(PATIENCE))
+        self.assertEqual(1, self.calls.count("POST held"))
+
+    def test_a_time_out_is_answered_and_the_worker_told(self) -> None:
+        self.begin()
+        answer = self.ask(self.job("never", "deck-build", 300))
+        self.assertEqual(504, answer.status)
+        self.assertEqual(200, self.ask(http.request("GET", "/up", "x")).status)
+
+    def test_progress_goes_through_and_a_dropped_build_runs_once(self) -> None:
+        self.streams = True
+        self.begin("--front", "deploy/progress.toml")
+        wants = ("Accept", "text/event-stream")
+        answer = self.ask(self.job("deck", "deck-build", 20_000, wants))
+        self.assertEqual(200, answer.status)
+        self.assertIn(b'event: progress\ndata: {"share":0.5}\n\n', answer.body)
+        self.assertTrue(answer.body.endswith(b"event: result\ndata: a deck\n\n"), answer.body)
+        answer = self.ask(self.job("drop", "deck-build", 20_000, wants))
+        self.assertTrue(answer.body.endswith(b'event: error\ndata: {"status": 502}\n\n'), answer.body)
+        answer = self.ask(self.job("stall", "deck-build", 500, wants))
+        self.assertTrue(answer.body.endswith(b'event: error\ndata: {"status": 504}\n\n'), answer.body)
+        self.assertEqual(204, self.ask(self.job("drop", "deck-build", 20_000, wants)).status)
+        self.assertEqual(1, self.calls.count("POST drop"))
+
+    def test_faulty_configuration_ends_with_the_key(self) -> None:
+        cases = {"{}": "settings", '{"settings": {"classes": 3}}': "settings", "{": "RELAY_CONFIG"}
+        for text, key in cases.items():
+            read, write = os.pipe()
+            os.write(write, text.encode())
+            os.close(write)
+            run = subprocess.run([sys.executable, "-m", "elderstall", "check", "--config", f"/dev/fd/{read}"],
+                                 cwd=ROOT, pass_fds=[read], capture_output=True, text=True, check=False)
+            os.close(read)
+            self.assertEqual(2, run.returncode)
+            self.assertIn(f"elderstall: {key}", run.stderr)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -332,6 +332,7 @@
             "POST /deck-fetch HTTP/1.1\\r\\nHost: x\\r\\nContent-Length: 65537\\r\\n\\r\\n": 413,
             "POST /deck-fetch HTTP/1.1\\r\\nHost: x\\r\\nTransfer-Encoding: chunked"
             "\\r\\n\\r\\n10001\\r\\n": 413,
+            f"POST http://[x/deck-fetch HTTP/1.1\\r\\n{head}{good}\\r\\n": 400,
             "POST /deck-fetch HTTP/2.0\\r\\nHost: x\\r\\n\\r\\n": 505,
             f"GET /up HTTP/1.1\\r\\nHost: x\\r\\nX: {'y' * 17000}\\r\\n\\r\\n": 431,
         }
@@ -348,6 +349,32 @@
             w expect nothing
         """)
 
+    def test_a_fault_in_the_program_is_met_in_one_request_only(self) -> None:
+        self.begin()
+        self.world.app.server.job = None  # type: ignore[method-assign, assignment]
+        self.play("""
+            c send job a1 deck-fetch
+            c expect 500
+            c expect closed
+            log expect bug
+            c2 send raw GET /up HTTP/1.1\\r\\nHost: x\\r\\n\\r\\n
+            c2 expect 200
+        """)
+
+    def test_connections_to_workers_are_bounded_while_they_come_up(self) -> None:
+        self.begin(workers=2)
+        self.world.app.workers.most = 1
+        self.play("""
+            w close silent
+            c send job a1 deck-build
+            c2 send job a2 deck-build
+            log expect limit
+            w expect nothing
+            wait 260
+            log expect connect
+        """)
+        self.assertLessEqual(self.world.app.workers.opening, 1)
+
     def test_over_the_limit_of_jobs_the_answer_is_503(self) -> None:
         self.begin(limits={"max_open": 1})
         self.play("""
