Tell refused clients when to come back, by the work that is owed

The module refused without advice, so a client that retries came straight back to a fleet that had just had no room. finish() now gives Retry-After: the owed slot-time over our part of the fleet's power, from 0.2 s to the 2 s that clients heed. The answer itself goes out at once, as before.

--- a/elderstall/choice.py
+++ b/elderstall/choice.py
@@ -55,6 +55,7 @@
 CLAIM = 1.25  # our part of the fleet, of the work that comes to us: some room beyond the mean
 WHOLE_UNDER = 0.25  # slots: a lesser part of a worker says too little of it; whole slots are ours then
 COLD_PART = 0.5  # of the budget of rule 4 is used: jobs are heavy-tailed and their work is a guess
+RETRY_LEAST, RETRY_MOST = 200.0, 2_000.0  # ms: shorter only adds to what is overloaded; longer is not heeded
 TIMER_SOLVE, TIMER_PUMP, TIMER_ASK = 1, 2, 3  # tokens
 
 
@@ -664,7 +665,16 @@
         cls = job.cls
         harmless = cls.effect is Effect.SAFE or (job.ran_on is None and job.out == 0) or (
             cls.effect is Effect.KEYED and cls.scope is Scope.ALL)
-        self.actions.append(i.Refuse(job.id) if harmless else i.Fail(job.id))
+        self.actions.append(i.Refuse(job.id, self.come_back()) if harmless else i.Fail(job.id))
+
+    def come_back(self) -> float:
+        """Give the time in which our part of the fleet works off what we owe.
+
+        Guards against clients that come back at once and keep a full fleet full; no answer waits for it.
+        """
+        power = sum(w.power for w in self.cut + self.common) * self.claim
+        owed = sum(job.work * job.slots for job in self.jobs.values())
+        return min(max(owed / max(power, 1e-9), RETRY_LEAST), RETRY_MOST)
 
     def close(self, job: Job) -> None:
         """Mark a job as answered; its attempts may still be out."""
--- a/tests/test_crowding.py
+++ b/tests/test_crowding.py
@@ -114,3 +114,18 @@
     d.jobs[2].ended = True
     d.tell(i.AttemptEnded(2, 0, first.worker, i.Ending.SERVED, True, (0.1,)))
     assert len(d.outs()) == 1
+
+
+def test_a_refusal_tells_when_to_come_back_by_what_is_owed() -> None:
+    """Guards against clients that come back at once to a full fleet; the refusal itself is not held back."""
+    told = []
+    for jobs in (2, 40):
+        d = Driver(settings(classes=(SAFE,), dispatchers=1, tells_start=False))
+        d.listed(fleet(1))
+        for job in range(jobs):
+            d.arrive(job, SAFE, work_hint=40.0)
+        d.advance(SAFE.aim + 2 * d.dispatcher.look)
+        told.append([a.retry_after for a in d.actions if isinstance(a, i.Refuse)])
+    (few, many) = told
+    assert 0 < max(few) <= max(many) <= 2_000.0
+    assert max(many) > min(many)
