--- a/elderstall/choice.py
+++ b/elderstall/choice.py
@@ -720,13 +720,8 @@
             w.running -= job.slots
             self.running -= job.slots
         if e.report and self.s.report_free_slots is not None:
-            # Rounded, for cut off a free worker of two slots would count as one of one slot for good.
-            free = round(e.report[self.s.report_free_slots] * REPORT_TRUST)
             self.kinds[w.kind][3] = 1.0
-            self.saw_slots(w, free)
-            if not self.s.tells_start:
-                # Guards against jobs held while slots are free: without starts only reports show room.
-                w.limit = max(1, w.used + min(free, int(max(w.peak, self.kinds[w.kind][2])) - w.used))
+            self.saw_slots(w, int(e.report[self.s.report_free_slots] * REPORT_TRUST))
         if ending is Ending.SERVED:
             w.skip = 0.0
             self.learn(a, self.now - (a.sent if a.started is None else a.started))
