Do not hold a cancel of ours against its worker

The program gives an attempt up when its client leaves; the simulator's adapter never does, so the module met CANCELLED for the first time and took it for a fault: attempt_ended (choice.py) skipped the worker 100 ms, doubled with each, and cut its limit. Probe: three clients that leave in a row; the second job found the only worker skipped. That is the new test in test_health.py.

test_program.py: the program takes port 0 and tells it, which spares a race for a port.

--- a/elderstall/choice.py
+++ b/elderstall/choice.py
@@ -725,7 +725,7 @@
         if ending is Ending.SERVED:
             w.skip = 0.0
             self.learn(a, self.now - (a.sent if a.started is None else a.started))
-        elif ending not in (Ending.ERROR, Ending.NEVER_SENT):
+        elif ending not in (Ending.ERROR, Ending.NEVER_SENT, Ending.CANCELLED):  # the last was our own doing
             lost = AWAY * (self.now - a.sent) if ending is Ending.TIMED_OUT else FULL_SKIP
             w.skip = max(lost, min(w.skip * 2, SKIP_MOST))
             w.skip_until = self.now + w.skip
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -53,3 +53,15 @@
         d.arrive(job, UNSAFE)
         serve_all(d, 150.0)
     assert len(set(sends(d.actions[before:]))) == 4
+
+
+def test_a_worker_is_not_skipped_for_a_job_whose_client_left() -> None:
+    """Guards against taking a cancel of ours for a fault of the worker: skips double up to seconds."""
+    d = Driver(settings(classes=(SAFE,), dispatchers=1))
+    d.listed(fleet(1))
+    for job in range(3):
+        assert sends(d.arrive(job, SAFE)) == ["k0"]
+        out = d.outs()[0]
+        d.leave(job)
+        d.end(out, i.Ending.CANCELLED)
+    assert d.dispatcher.workers["k0"].skip_until <= d.now
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -91,13 +91,11 @@
         self.discovery = Peer(self.watch)
         self.addCleanup(self.worker.close)
         self.addCleanup(self.discovery.close)
-        with socket.create_server(("127.0.0.1", 0)) as free:
-            self.address = ("127.0.0.1", free.getsockname()[1])
 
     def begin(self, *options: str) -> None:
         raw = platform()
         raw["known"]["endpoints"] = [entry("w1", address=self.worker.address)]
-        raw.update(listen=f"127.0.0.1:{self.address[1]}", discovery=self.discovery.address)
+        raw.update(listen="127.0.0.1:0", discovery=self.discovery.address)
         read, write = os.pipe()
         env = {**os.environ, "RELAY_CONFIG": f"/dev/fd/{read}"}
         os.write(write, json.dumps(raw).encode())
@@ -108,7 +106,9 @@
         os.close(read)
         self.addCleanup(self.end)
         assert self.program.stderr is not None
-        self.assertIn("listens on", self.program.stderr.readline())
+        line = self.program.stderr.readline()
+        self.assertIn("listens on 127.0.0.1:", line)
+        self.address = ("127.0.0.1", int(line.rsplit(":", 1)[1]))
         threading.Thread(target=self.drain_log, daemon=True).start()
 
     def drain_log(self) -> None:
--- a/tests/test_progress.py
+++ b/tests/test_progress.py
@@ -11,6 +11,7 @@
 from tests.scenario import Scenario, World
 
 ASKS = "Accept=text/event-stream"
+OPEN = f"c send job a1 deck-build {ASKS}\nw expect POST a1\nw send stream"
 
 
 class Progress(Scenario):
@@ -25,9 +26,7 @@
         handle = core.module.handle
         core.module.handle = lambda now, e: (seen.append(e), handle(now, e))[1]  # type: ignore
         self.play(f"""
-            c send job a1 deck-build {ASKS}
-            w expect POST a1
-            w send stream
+            {OPEN}
             c expect nothing
             w send event progress {{"share": 0.4}}
             c expect event progress {{"share": 0.4}}
@@ -65,9 +64,7 @@
         for how in ("w close", "w send end", "w send raw zz\\r\\n", "w send event error full disk"):
             self.begin(workers=2)
             self.play(f"""
-                c send job a1 deck-build {ASKS}
-                w expect POST a1
-                w send stream
+                {OPEN}
                 w send event progress {{"share": 0.4}}
                 c expect event progress
                 {how}
@@ -95,9 +92,7 @@
 
     def test_before_the_first_event_a_refusal_is_a_plain_503_and_a_failure_5xx(self) -> None:
         self.play(f"""
-            c send job a1 deck-build {ASKS}
-            w expect POST a1
-            w send stream
+            {OPEN}
             w close
             c expect 502
             w close listener
@@ -138,9 +133,7 @@
     def test_a_draining_worker_finishes_its_streams_and_gets_nothing_new(self) -> None:
         self.play(f"""
             d send beat
-            c send job a1 deck-build {ASKS}
-            w expect POST a1
-            w send stream
+            {OPEN}
             d send changes 42 w1=draining
             c2 send job a2 deck-build {ASKS}
             w send event progress {{"share": 0.7}}
@@ -159,9 +152,7 @@
         long = "x" * 3_000
         notes = "\n".join(f"w send event progress {n} {long}" for n in range(200))
         self.play(f"""
-            c send job a1 deck-build {ASKS}
-            w expect POST a1
-            w send stream
+            {OPEN}
             c close reading
             {notes}
         """)
@@ -176,9 +167,7 @@
 
     def test_a_client_that_goes_ends_the_stream_and_a_reconnect_runs_nothing(self) -> None:
         self.play(f"""
-            c send job a1 deck-build {ASKS}
-            w expect POST a1
-            w send stream
+            {OPEN}
             w send event progress {{"share": 0.2}}
             c expect event progress
             c close
@@ -195,9 +184,7 @@
 
     def test_sigterm_lets_open_streams_finish(self) -> None:
         self.play(f"""
-            c send job a1 deck-build {ASKS}
-            w expect POST a1
-            w send stream
+            {OPEN}
             w send event progress {{"share": 0.2}}
             c expect event progress
             term send
