--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -8,7 +8,7 @@
     c expect event NAME [WORDS] / end                  the next event of a stream / its end
     c expect nothing / closed                          no bytes / the program has closed
     c close / close reading / send reading             gone / stops to read / reads on
-    w expect POST ID / DELETE ID / nothing             the next request at any worker, which is then w
+    w expect POST ID [left=MS] / DELETE ID / nothing   the next request at any worker, which is then w
     w send STATUS [Name: value] / stream / event NAME DATA / end / raw TEXT
     w send call STATE ID [TEXT] [from=NAME]            a call-back, wants 204
     w close / close listener / close silent            breaks / new ones are refused / new ones never come up
@@ -333,14 +333,16 @@
         if words == "nothing":
             self.assertEqual([], [(p.name, m.method, m.target) for p in found for m in p.messages])
             return
-        method, _, cid = words.partition(" ")
+        method, cid, left = (words.split() + [""])[:3]
         self.assertTrue(found, f"no request came; {self.world.lines}")
         message = found[0].messages.pop(0)
         self.assertEqual(method, message.method)
         self.assertEqual(cid, message.target[6:] if method == "DELETE" else message.headers.get("X-Call-Id"))
         if method == "POST":
             self.assertEqual(b"body", message.body)
-            self.assertLessEqual(int(message.headers.get("X-Budget-Ms") or -1), 15000)
+            self.assertTrue(message.target.endswith("?obj=7f"))
+            budget = int(message.headers.get("X-Budget-Ms") or -1)
+            self.assertTrue(0 < budget <= int(left.removeprefix("left=") or 15000), budget)
         self.world.peers[actor] = found[0]
 
     def w_send(self, actor: str, words: str) -> None:
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -79,8 +79,9 @@
             c send job a1 deck-build
             w expect POST a1
             w send 202
+            wait 300
             w send call returned a1
-            w expect POST a1
+            w expect POST a1 left=4700
             w send 202
             w send call failed a1
             c expect 502
@@ -403,6 +404,13 @@
             w send call done a1 hello
             c99 expect 200 hello
         """)
+        server, n = self.world.app.server, 200
+        while len(server.connections) < hard:
+            self.play(f"c{n} send raw P")
+            n += 1
+        self.assertFalse(server.accepting)
+        self.play(f"c{n - 1} close\nc{n - 2} close")
+        self.assertTrue(server.accepting)
 
     def test_sigterm_serves_on_then_refuses_and_ends_when_empty(self) -> None:
         self.play("""
