Bound bad clients by time, bytes and connections, and take an id only once

Checked, by tracing the first bytes of each connection: from second 9 two floods of 288 fill the table (252). Server.crowded shed only connections that had had a request, one for each new one, so the silent ones stayed their 75 s, job() answered 503 "too many connections" and at the hard limit accepting stopped, call-backs included. Ruled out: memory (23 of 80 MB), CPU (.35 of a core in the worst second), worker descriptors.

Now: 2.5 s from connecting for a whole request (a body that still comes up to 15 s); heads are checked before the body is read; a 4xx closes its connection; an order of who goes when descriptors run short; answered ids are remembered; bytes of unfinished requests are bounded together by the configured memory. Workers with a live attempt count as clients.

--- a/elderstall/app.py
+++ b/elderstall/app.py
@@ -41,7 +41,7 @@
                                    self.core.listed, config.discovery, config.live_weights)
         self.core.follow = self.discovery.follow
         self.server = listener(self.core, self.deadlines, self.log, self.workers.report_of,
-                               config.client_hard, config.client_soft)
+                               config.client_hard, config.client_soft, config.reading_bytes)
         if isinstance(self.server, ProgressServer):
             self.server.setup = config.progress
         self.port: Any = None
--- a/elderstall/config.py
+++ b/elderstall/config.py
@@ -18,6 +18,9 @@
 WORKER_PART = 0.3  # of the others are for connections to workers
 SOFT_PART = 0.8  # of the clients' descriptors are used before connections are shed
 MIN_SOCKETS = 64
+FOOTPRINT = 24.0  # MiB that the program takes with nothing to do, measured
+READING_PART = 0.125  # of the memory beyond it may go to requests not whole yet; jobs may hold as much
+READING_LEAST = 1.0  # MiB for them, however little there is
 
 
 class ConfigError(Exception):
@@ -54,6 +57,7 @@
     worker_connections: int
     client_soft: int
     client_hard: int
+    reading_bytes: int
     progress: Progress = Progress()
 
 
@@ -139,6 +143,7 @@
     except (ValueError, TypeError):
         raise ConfigError(f"seed: {seed!r} is no hexadecimal number") from None
     sockets = int(number(table(raw, "limits"), "sockets", 1_024, "limits", MIN_SOCKETS))
+    memory = number(table(raw, "limits"), "memory_mb", 128.0, "limits", 1)
     usable = sockets - max(16, sockets // OWN_PART)
     workers = int(usable * WORKER_PART)
     fields = report.get("fields") or []
@@ -152,7 +157,9 @@
         connect_ms=number(limits, "connect_timeout", 250.0, "settings.limits") or 250.0,
         max_open=int(number(limits, "max_open", 20_000, "settings.limits", 1)),
         worker_connections=workers, client_soft=int((usable - workers) * SOFT_PART),
-        client_hard=usable - workers, progress=progress_of(front))
+        client_hard=usable - workers,
+        reading_bytes=int(max(READING_LEAST, (memory - FOOTPRINT) * READING_PART) * 1024 * 1024),
+        progress=progress_of(front))
 
 
 def load(path: str | None, env: Mapping[str, str], front: str | None = None) -> Config:
--- a/elderstall/core.py
+++ b/elderstall/core.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import OrderedDict, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol
@@ -21,6 +21,7 @@
 from elderstall.log import Log
 from elderstall.slots import Slots
 
+REMEMBERED = 4_096  # ids of answered jobs kept: minutes of them at the rates known
 DRAIN_GRACE = 1_500.0  # ms after which the core itself sends nothing to a worker told draining or gone
 
 
@@ -100,7 +101,7 @@
 
 
 class RepeatedIdError(Exception):
-    """The id is that of a live job."""
+    """The id is that of a live job, or of one that has had its answer."""
 
 
 @dataclass(slots=True, eq=False)
@@ -157,6 +158,7 @@
         self.tenants = {t.name for t in settings.tenants}
         self.jobs: Slots[Job] = Slots(max_open)
         self.by_cid: dict[str, Job] = {}
+        self.answered: OrderedDict[str, None] = OrderedDict()  # ids, the latest last
         self.workers: dict[str, Known] = {}
         self.events: deque[i.Event] = deque()
         self.feeding = False
@@ -218,7 +220,8 @@
 
     def take(self, ask: Ask, client: Client) -> int:
         """Take a job on; from here it is owed one final answer. Gives its number."""
-        if ask.cid in self.by_cid:
+        if ask.cid in self.by_cid or ask.cid in self.answered:
+            # Guards against a second run under another client's id: every request, a retry too, has its own.
             raise RepeatedIdError(ask.cid)
         if self.jobs.full:
             raise TooManyJobsError
@@ -275,6 +278,9 @@
         job.closed, job.held_send = True, None
         self.jobs.remove(job.number)
         del self.by_cid[job.ask.cid]
+        self.answered[job.ask.cid] = None
+        if len(self.answered) > REMEMBERED:
+            self.answered.popitem(last=False)
         if job.guard is not None:
             job.guard.cancel()
         if answer is not None:
--- a/elderstall/net/server.py
+++ b/elderstall/net/server.py
@@ -31,9 +31,15 @@
 from elderstall.net import http
 from elderstall.slots import Slots
 
-READ_AHEAD = 32 * 1024  # bytes of pipelined input kept while a job is out
+READ_AT_ONCE = 16 * 1024  # bytes taken from a socket in one go: hundreds may send at once, in little memory
+READ_AHEAD = 4 * 1024  # bytes of pipelined input kept while a job is out; clients send one request at a time
 LINGER = 1_000.0  # ms of reading on after a last answer, so that a reset does not overtake it
 ENDINGS = {"done": Ending.SERVED, "failed": Ending.ERROR, "returned": Ending.FULL, "lost": Ending.BROKEN}
+BODY_PAUSE = 500.0  # ms: a body of which a part came this lately is slow, not given up
+YOUNG = 100.0  # ms in which a new client's first request is on its way, however busy this program is
+# Who goes first where descriptors run short: who has asked nothing yet, who has its last answer, who only
+# asked for /up, clients and workers between requests, and last who is amid one whose head is good.
+UNASKED, LEAVING, ASKED, RESTING, READING = range(5)
 NUMBER = re.compile(r"[0-9]{1,15}(\.[0-9]{1,9})?")
 BUDGET_MOST = 24 * 3_600_000.0
 
@@ -117,8 +123,16 @@
         self.server = server
         self.parser = http.Parser()
         self.number = 0
+        self.place: int | None = None  # among those that may go, see UNASKED
+        self.placed = 0.0
+        self.ended = False  # told to close; its descriptor is free soon
         self.message: http.Message | None = None  # being read
+        self.ask: Ask | None = None  # what its head asks for
         self.body: list[bytes] = []
+        self.size = 0  # bytes of that body, also while its job is out
+        self.weight = 0  # bytes counted for this connection
+        self.began = 0.0  # when the message began
+        self.came = 0.0  # when its latest bytes came
         self.job: int | None = None  # out
         self.busy = False  # a request is being handled
         self.blocked = False  # the peer does not read
@@ -126,6 +140,7 @@
         self.paused = False
         self.closing = False
         self.client = False  # has handed in a job
+        self.worker = False  # has called back about a live attempt
         self.requests = 0
         self.reason = "peer-closed"
         self.timer: Deadline | None = None
@@ -134,10 +149,14 @@
 
     def connectionMade(self) -> None:  # noqa: N802, D102
         self.transport.setTcpNoDelay(True)
+        self.transport.bufferSize = READ_AT_ONCE
         self.number = self.server.connections.add(self)
         self.transport.registerProducer(self, True)
+        self.server.move(self, UNASKED)
+        self.began = self.placed
         self.server.crowded()
-        self.wait(self.server.idle_for, "idle")
+        # From here on, not from its first byte: a peer that says nothing holds a descriptor all the same.
+        self.wait(self.server.request_for, "silent")
 
     def wait(self, delay: float, reason: str) -> None:
         """Give the peer so long for what comes next."""
@@ -146,11 +165,14 @@
         self.timer = self.server.deadlines.after(delay, self.expire, reason)
 
     def expire(self, reason: str) -> None:
-        """End a connection whose peer took too long."""
+        """End a connection whose peer took too long; a body that still comes has a little longer."""
         if self.job is not None or self.busy:
             return
-        if reason == "slow-request":
-            self.finish(408, reason, b"request took too long\n")
+        now = self.server.deadlines.now()
+        if self.message is not None and now < min(self.came + BODY_PAUSE, self.began + self.server.body_for):
+            self.wait(BODY_PAUSE, reason)
+        elif self.message is not None or not self.parser.idle:
+            self.finish(408, "slow-request", b"request took too long\n")
         else:
             self.end(reason)
 
@@ -159,6 +181,12 @@
     def dataReceived(self, data: bytes) -> None:  # noqa: N802, D102
         if self.closing:
             return
+        self.came = self.server.deadlines.now()
+        if self.place in (ASKED, RESTING):
+            # Guards against a later request without end; the first has its time from the connection's start.
+            self.began = self.came
+            self.server.move(self, READING)
+            self.wait(self.server.request_for, "slow-request")
         self.parser.feed(data)
         self.step()
 
@@ -175,24 +203,38 @@
                 self.take(event)
         except http.MessageError as error:
             self.finish(error.status, "bad-request", f"{error}\n".encode())
+        except RequestError as denied:
+            # Guards against the same again on the same connection, at once and hundreds of times.
+            self.finish(denied.status, "bad-request", f"{denied}\n".encode(), denied.headers)
         except Exception as error:
             # Guards the other connections against a fault met in one request.
             self.server.log.failure("request", error)
             self.finish(500, "bug", b"internal error\n")
         finally:
             self.stepping = False
+        self.weigh()
         full = (self.busy or self.blocked) and len(self.parser.buffer) > READ_AHEAD
         if full != self.paused and not self.closing:
             self.paused = full
             (self.transport.pauseProducing if full else self.transport.resumeProducing)()
 
+    def weigh(self) -> None:
+        """Count the bytes kept, against the limit for requests that are not whole yet."""
+        weight = 0 if self.closing else len(self.parser.buffer) + self.size
+        self.server.weight += weight - self.weight
+        self.weight = weight
+        if weight and not self.busy and not self.closing and self.server.weight > self.server.weight_most:
+            self.finish(503, "memory", b"too much is being read\n", retry_after(self.server.busy_retry))
+
     def take(self, event: http.Event) -> None:
         """Gather a request."""
         if isinstance(event, http.Head):
-            self.message, self.body = event.message, []
-            self.wait(self.server.request_for, "slow-request")
+            self.message, self.body, self.size = event.message, [], 0
             if event.message.version >= (1, 1) and len(event.message.headers.all("Host")) != 1:
                 raise http.MessageError(400, "Host is missing or stands twice")
+            # Before its body has come: what is wrong with a head is answered without reading on.
+            self.ask = self.server.look(event.message)
+            self.server.move(self, READING)
             expect = event.message.headers.tokens("Expect")
             if expect == ["100-continue"]:
                 self.transport.write(http.response(100))
@@ -200,16 +242,20 @@
                 raise http.MessageError(417, "unknown expectation")
         elif isinstance(event, http.Data):
             self.body.append(event.data)
+            self.size += len(event.data)
         elif self.message is not None:
             message, self.message = self.message, None
             message.body, self.body = b"".join(self.body), []
             self.requests += 1
             self.busy, self.close_after = True, not message.keep_alive
+            self.server.move(self, None)
             if self.timer is not None:
                 self.timer.cancel()
             try:
                 self.server.handle(self, message)
             except RequestError as denied:
+                if denied.status < 500:
+                    raise
                 self.reply(denied.status, f"{denied}\n".encode(), denied.headers)
 
     # ---- answering ----
@@ -224,24 +270,38 @@
 
     def over(self, close: bool) -> None:
         """Go on after an answer."""
-        self.busy, self.job = False, None
+        self.busy, self.job, self.size = False, None, 0
         if close:
             self.linger(self.server.close_reason())
         elif self.blocked:
             self.watch_reading()
         else:
-            self.wait(self.server.idle_for, "idle")
-            self.step()
+            self.rest()
 
-    def finish(self, status: int, reason: str, body: bytes) -> None:
-        """Answer what is no request, and close."""
-        self.transport.write(http.response(status, body, close=True))
+    def rest(self) -> None:
+        """Wait for the next request, or go on with one that has come already."""
+        self.server.move(self, RESTING if self.client or self.worker else ASKED)
+        self.wait(self.server.idle_for, "idle")
+        if not self.parser.idle:
+            self.began = self.server.deadlines.now()
+            self.server.move(self, READING)
+            self.wait(self.server.request_for, "slow-request")
+        self.step()
+
+    def finish(self, status: int, reason: str, body: bytes, headers: tuple[tuple[str, str], ...] = (),
+               ) -> None:
+        """Answer what is no request to serve, and close."""
+        self.busy = False
+        self.transport.write(http.response(status, body, headers, close=True))
         self.linger(reason)
 
     def linger(self, reason: str) -> None:
         """Close our side, and read on a little: a reset would overtake the answer."""
         self.closing, self.reason = True, reason
+        self.server.move(self, LEAVING)
         self.parser.buffer.clear()
+        self.body, self.size = [], 0
+        self.weigh()
         if self.paused:
             self.paused = False
             self.transport.resumeProducing()
@@ -265,10 +325,27 @@
         if not self.closing:
             self.closing, self.reason = True, reason
             self.transport.unregisterProducer()
+        self.server.move(self, None)
+        self.ending()
         self.transport.loseConnection()
         # A peer that reads nothing would hold the connection for ever.
         self.timer = self.server.deadlines.after(LINGER, self.transport.abortConnection)
 
+    def ending(self) -> None:
+        """Note that the descriptor will be free soon."""
+        if not self.ended:
+            self.ended = True
+            self.server.ending += 1
+
+    def shed(self) -> None:
+        """Close at once, for want of descriptors."""
+        if self.closing:  # it has its answer
+            self.server.move(self, None)
+            self.ending()
+            self.transport.abortConnection()
+        else:
+            self.end("crowded")
+
     # ---- the job's client ----
 
     def answered(self, answer: Answer) -> None:
@@ -311,8 +388,7 @@
             if self.closing:
                 self.finish_closing()
             elif not self.busy:
-                self.wait(self.server.idle_for, "idle")
-                self.step()
+                self.rest()
 
     def stopProducing(self) -> None:  # noqa: N802, D102
         pass
@@ -325,6 +401,10 @@
         if job is not None:
             self.reason = "client-gone"
             self.server.core.left(job)
+        self.size = 0
+        self.weigh()
+        self.server.move(self, None)
+        self.server.ending -= self.ended
         self.server.connections.remove(self.number)
         self.server.log.ended("client" if self.client else "peer", self.number, self.reason,
                               f"{self.requests} requests")
@@ -337,14 +417,21 @@
     noisy = False
 
     def __init__(self, core: Core, deadlines: Deadlines, log: Log, report_of: ReportOf,
-                 most: int = 600, soft: int = 500, idle_for: float = 75_000.0, request_for: float = 15_000.0,
+                 most: int = 600, soft: int = 500, weight_most: int = 8 * 1024 * 1024,
+                 idle_for: float = 75_000.0, request_for: float = 2_500.0, body_for: float = 15_000.0,
                  write_for: float = 20_000.0, busy_retry: float = 1_000.0) -> None:
         self.core, self.deadlines, self.log, self.report_of = core, deadlines, log, report_of
         # Accepting stops one step before the table is full; the reactor may hand over a few in one go.
         self.connections: Slots[ServerConnection] = Slots()
         self.most, self.soft = most, soft
+        # Bad clients are owed an answer or a close within 3 s: half a second is for a program under load.
         self.idle_for, self.request_for, self.write_for = idle_for, request_for, write_for
-        self.busy_retry = busy_retry
+        self.body_for, self.busy_retry = body_for, busy_retry
+        self.weight_most, self.weight = weight_most, 0  # bytes of requests not whole, and of all kept
+        # Those that may go, by the order in which they do; in each the longest there first.
+        self.places: tuple[dict[int, ServerConnection], ...] = tuple({} for _ in range(READING + 1))
+        self.ending = 0  # connections told to close
+        self.looking: Deadline | None = None
         self.draining = False
         self.refusing = False
         self.accept: Callable[[bool], None] = lambda on: None  # turns the listening port's reading on or off
@@ -354,23 +441,47 @@
     def buildProtocol(self, addr: object) -> Protocol | None:  # noqa: N802, D102
         return ServerConnection(self)
 
+    def move(self, c: ServerConnection, place: int | None) -> None:
+        """Note what a connection does, for when some must go."""
+        if c.place is not None:
+            self.places[c.place].pop(c.number, None)
+        c.place, c.placed = place, self.deadlines.now()
+        if place is not None:
+            self.places[place][c.number] = c
+
+    def sheddable(self) -> ServerConnection | None:
+        """Give the connection that can best be done without."""
+        for place, table in enumerate(self.places):
+            c = next(iter(table.values()), None)
+            if c is not None and (place > LEAVING or self.deadlines.now() - c.placed >= YOUNG):
+                return c
+        return None
+
     def crowded(self) -> None:
-        """Keep descriptors back: past the soft limit idle clients go, past the hard one none come in.
+        """Keep descriptors back: past the soft limit some clients go, past the hard one none come in.
 
-        A connection that has been accepted may hold a job already, so none is ever turned away unread.
+        Guards the usual clients and workers' call-backs against hundreds that connect and say nothing.
         """
-        count = len(self.connections)
-        if count > self.soft:
-            for c in self.connections:
-                if c.requests and not c.busy and not c.closing and c.parser.idle and not c.message:
-                    c.end("crowded")
-                    break
-        if (on := count < self.most) is not self.accepting:
+        while len(self.connections) - self.ending > self.soft and (c := self.sheddable()) is not None:
+            c.shed()
+        if (on := len(self.connections) < self.most) is not self.accepting:
             self.accepting = on
             self.accept(on)
-        if not count:
+        if len(self.connections) - self.ending > self.soft and self.looking is None:
+            self.looking = self.deadlines.after(YOUNG, self.look_again)  # the youngest will be older then
+        if not self.connections:
             self.on_closed()
 
+    def look_again(self) -> None:
+        """See whether some may go now."""
+        self.looking = None
+        self.crowded()
+
+    @property
+    def working(self) -> int:
+        """How many connections have a request in hand."""
+        return len(self.connections) - self.ending - sum(map(len, self.places))
+
     def closes(self, connection: ServerConnection) -> bool:
         """Say whether a connection ends after its answer."""
         return self.draining and connection.client
@@ -381,31 +492,38 @@
 
     # ---- requests ----
 
+    def look(self, message: http.Message) -> Ask | None:
+        """Check a head; a job's gives what it asks for."""
+        path = message.target.split("?", 1)[0]
+        method = {"/up": "GET", "/callback": "POST"}.get(path)
+        if method is None:
+            return ask_of(message, self.core)
+        if message.method != method:
+            raise RequestError(405, f"{method} only", (("Allow", method),))
+        return None
+
     def handle(self, c: ServerConnection, message: http.Message) -> None:
         """Answer a request."""
-        path = message.target.split("?", 1)[0]
-        if path == "/up":
-            if message.method != "GET":
-                raise RequestError(405, "GET only", (("Allow", "GET"),))
-            c.reply(503 if self.draining else 200, b"draining\n" if self.draining else b"up\n")
-        elif path == "/callback":
-            if message.method != "POST":
-                raise RequestError(405, "POST only", (("Allow", "POST"),))
-            self.callback(message)
+        if c.ask is not None:
+            ask, c.ask = c.ask, None
+            self.job(c, message, ask)
+        elif message.method == "POST":
+            self.callback(c, message)
             c.reply(204)
         else:
-            self.job(c, message)
+            c.reply(503 if self.draining else 200, b"draining\n" if self.draining else b"up\n")
 
-    def job(self, c: ServerConnection, message: http.Message) -> None:
+    def job(self, c: ServerConnection, message: http.Message, ask: Ask) -> None:
         """Take a client's job."""
         c.client = True
-        ask = ask_of(message, self.core)
         busy = retry_after(self.busy_retry)
         if self.refusing:
             raise RequestError(503, "shutting down", busy)
-        if len(self.connections) > (self.soft + self.most) / 2:
+        if self.working > self.soft:
             # Guards the descriptors that workers' call-backs need.
             raise RequestError(503, "too many connections", busy)
+        if self.weight > 2 * self.weight_most:
+            raise RequestError(503, "too much is kept", busy)
         self.submit(c, message, ask)
 
     def submit(self, c: ServerConnection, message: http.Message, ask: Ask) -> None:
@@ -417,13 +535,13 @@
         try:
             number = self.core.take(ask, client)
         except RepeatedIdError:
-            raise RequestError(400, "a job with this X-Call-Id is live") from None
+            raise RequestError(400, "a job with this X-Call-Id is live or was answered") from None
         except TooManyJobsError:
             raise RequestError(503, "too many jobs", retry_after(self.busy_retry)) from None
         if c.busy:  # else it has been answered already
             c.job = number
 
-    def callback(self, message: http.Message) -> None:
+    def callback(self, c: ServerConnection, message: http.Message) -> None:
         """Take what a worker tells; only a live attempt's own worker is heard."""
         try:
             call: Any = json.loads(message.body)
@@ -437,6 +555,7 @@
         attempt = self.core.live(cid, worker)
         if attempt is None:
             return
+        c.worker = True
         if state in ("started", "running"):
             share = call.get("share")
             done = float(share) if isinstance(share, int | float) and 0 <= share <= 1 else 0.0
