Take SIGHUP: check the file, move the watch to the new discovery, and live on

Checked: Discovery.address and index were set once, and connect_discovery read the first configuration. The former watch is heard until the new one has spoken; of several moves in a row the one that has not spoken gives way.

What a running program cannot take on (name, listen, settings) is named in the log.

--- a/elderstall/__main__.py
+++ b/elderstall/__main__.py
@@ -34,7 +34,11 @@
               f"{len(config.known['endpoints'])} known workers, listens on {config.host}:{config.port}")
         return 0
     loop: Any = reactor  # its type is known only at run time
-    app = App(config, loop)
+    app = App(config, loop, lambda: load(args.config, os.environ, args.front))
+    # Before the program listens: from then on a signal without its handler would end it.
+    signal.signal(signal.SIGTERM, app.sigterm)
+    signal.signal(signal.SIGINT, app.sigterm)
+    signal.signal(signal.SIGHUP, app.sighup)
 
     def observe(event: LogEvent) -> None:
         if "log_failure" in event:
@@ -44,8 +48,6 @@
     observer = cast(ILogObserver, observe)
     globalLogBeginner.beginLoggingTo([observer], discardBuffer=True, redirectStandardIO=False)
     app.start()
-    signal.signal(signal.SIGTERM, app.sigterm)
-    signal.signal(signal.SIGINT, app.sigterm)
     loop.run(installSignalHandlers=False)
     return 0
 
--- a/elderstall/app.py
+++ b/elderstall/app.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any, cast
 
 from twisted.internet.defer import Deferred
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.protocol import Factory
 
-from elderstall.config import Config, address_of
+from elderstall.config import Config, ConfigError, address_of, fixed_keys, reloaded
 from elderstall.core import Core
 from elderstall.deadlines import Deadlines
 from elderstall.log import Log
@@ -26,8 +27,9 @@
 class App:
     """One dispatcher on real sockets."""
 
-    def __init__(self, config: Config, reactor: Any) -> None:
+    def __init__(self, config: Config, reactor: Any, read: Callable[[], Config] | None = None) -> None:
         self.config, self.reactor = config, reactor
+        self.read = read or (lambda: config)  # reads the configuration again
         self.deadlines = Deadlines(reactor)
         self.log = Log(self.deadlines.now)
         self.deadlines.failed = lambda error: self.log.failure("deadline", error)
@@ -73,6 +75,38 @@
         """Begin the planned end: from a signal handler, so the reactor's own turn does it."""
         self.reactor.callFromThread(self.drain)
 
+    def sighup(self, *_: object) -> None:
+        """Read the configuration again, in the reactor's own turn."""
+        self.reactor.callFromThread(self.reload)
+
+    def reload(self) -> None:
+        """Take on the configuration as it is now; a faulty one changes nothing.
+
+        Jobs, attempts and connections live on, a planned end under way goes on as well.
+        """
+        try:
+            told = self.read()
+        except ConfigError as error:
+            self.log.write("reload", f"nothing changed: {error}")
+            return
+        if keys := fixed_keys(self.config, told):
+            self.log.write("reload", f"only a restart changes {', '.join(keys)}")
+        moved = told.discovery != self.config.discovery
+        self.config = reloaded(self.config, told)
+        self.limit()
+        self.log.write("reload", f"discovery is at {told.discovery}" + ("" if moved else ", as before"))
+        if moved:
+            self.discovery.move(told.discovery)
+
+    def limit(self) -> None:
+        """Hand the limits out."""
+        self.workers.most = self.config.worker_connections
+        self.server.most, self.server.soft = self.config.client_hard, self.config.client_soft
+        self.server.weight_most = self.config.reading_bytes
+        if isinstance(self.server, ProgressServer):
+            self.server.setup = self.config.progress
+        self.server.crowded()
+
     def drain(self) -> None:
         """Serve on a little, then refuse new jobs, and end once all that was taken is answered."""
         if self.stopping:
--- a/elderstall/config.py
+++ b/elderstall/config.py
@@ -5,7 +5,7 @@
 import json
 import tomllib
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
@@ -162,6 +162,26 @@
         progress=progress_of(front))
 
 
+FIXED = {  # what the module and the listener were built with, by the key that tells it
+    "name": "name", "listen": "host port",
+    "settings": "settings live_weights report_fields slack_ms idle_ms connect_ms max_open"}
+
+
+def fixed_keys(old: Config, new: Config) -> list[str]:
+    """Name the keys that differ and that a running program cannot change."""
+    keys = [key for key, names in FIXED.items()
+            if any(getattr(old, name) != getattr(new, name) for name in names.split())]
+    return keys + ["front.progress.enabled"] * (old.progress.enabled is not new.progress.enabled)
+
+
+def reloaded(old: Config, new: Config) -> Config:
+    """Give the configuration of a program that runs on: discovery, limits and the front's figures are new."""
+    return replace(
+        old, discovery=new.discovery, worker_connections=new.worker_connections, client_soft=new.client_soft,
+        client_hard=new.client_hard, reading_bytes=new.reading_bytes,
+        progress=replace(new.progress, enabled=old.progress.enabled))
+
+
 def load(path: str | None, env: Mapping[str, str], front: str | None = None) -> Config:
     """Read the file that the platform names."""
     path = path or env.get("RELAY_CONFIG")
--- a/elderstall/net/discovery.py
+++ b/elderstall/net/discovery.py
@@ -80,11 +80,9 @@
         self.transport.write(http.request("GET", target, self.watch.address))
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802, D102
-        if self.watch.connection is not self:
-            return
         self.parser.feed(data)
         try:
-            while self.watch.connection is self and (event := self.parser.next()) is not None:
+            while self.watch.listens_to(self) and (event := self.parser.next()) is not None:
                 if isinstance(event, http.Head):
                     if event.message.status != 200:
                         raise ListError(f"status {event.message.status}")
@@ -94,7 +92,7 @@
                 else:
                     raise ListError("the watch ended")
         except (http.MessageError, ListError, ValueError, RecursionError) as error:
-            self.watch.broken("bad-list", str(error))
+            self.watch.ended(self, "bad-list", str(error))
 
     def lines(self, data: bytes) -> None:
         """Split the body at its line ends; an empty line says that discovery lives."""
@@ -103,16 +101,14 @@
             self.line += part
             text = bytes(self.line).strip()
             self.line.clear()
-            self.watch.heard(json.loads(text) if text else None)
+            self.watch.heard(json.loads(text) if text else None, self)
         self.line += rest
         if len(self.line) > LINE_MOST:
             raise ListError("line too long")
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802, D102
         self.watch.log.ended("discovery", 0, self.reason)
-        if self.watch.connection is self:
-            self.watch.connection = None
-            self.watch.broken("discovery-closed", "")
+        self.watch.ended(self, "discovery-closed", "")
 
 
 class Discovery(Factory):
@@ -129,6 +125,8 @@
         self.index = 0
         self.addresses: dict[str, str] = {}
         self.connection: WatchConnection | None = None
+        self.former: WatchConnection | None = None  # at the address before a move, until the new one speaks
+        self.wanted = False  # the module has asked to follow
         self.connecting: Deferred[WatchConnection] | None = None
         self.timer: Deadline | None = None
         self.fresh = False  # a call of which the module has not yet heard
@@ -159,6 +157,7 @@
 
     def follow(self) -> None:
         """Ask for changes; while a watch is being opened or lives, it is the answer."""
+        self.wanted = True
         if self.connection is not None or self.connecting is not None:
             return
         self.fresh = True
@@ -166,6 +165,44 @@
         self.connecting = connecting = self.connect(self)
         connecting.addCallbacks(self.up, self.down).addErrback(self.bug)
 
+    def move(self, address: str) -> None:
+        """Go to another address, at once.
+
+        It may count its versions afresh, so it is asked for all there is. Until it has spoken the former
+        watch is heard on: a change written there counts as told. No call of it is repeated.
+        """
+        self.address, self.index = address, 0
+        connecting, self.connecting = self.connecting, None
+        if connecting is not None:
+            connecting.cancel()
+        if self.former is None or not self.fresh:  # else what has not spoken gives way, not what has
+            self.leave()
+            self.former, self.connection = self.connection, None
+        elif self.connection is not None:
+            connection, self.connection = self.connection, None
+            connection.reason = "moved"
+            connection.transport.abortConnection()
+        if self.wanted:
+            self.follow()
+
+    def leave(self) -> None:
+        """Close the watch at the former address."""
+        former, self.former = self.former, None
+        if former is not None:
+            former.reason = "moved"
+            former.transport.abortConnection()
+
+    def listens_to(self, connection: WatchConnection) -> bool:
+        """Say whether what a connection brings still counts."""
+        return connection in (self.connection, self.former)
+
+    def ended(self, connection: WatchConnection, reason: str, detail: str) -> None:
+        """Note that a watch has ended or cannot be read; the former one's end is no loss."""
+        if connection is self.former:
+            self.leave()
+        elif connection is self.connection:
+            self.broken(reason, detail)
+
     def up(self, connection: WatchConnection) -> None:
         """Take the connection that has come up."""
         self.connecting = None
@@ -187,11 +224,22 @@
             self.timer.cancel()
         self.timer = self.deadlines.after(within, self.broken, "silent", "")
 
-    def heard(self, value: Any) -> None:
+    def heard(self, value: Any, connection: WatchConnection) -> None:
         """Take one line of the watch."""
+        if connection is self.former:
+            if value is not None:
+                index = self.index
+                news = self.take(value)
+                self.index = index  # the new address has versions of its own
+                self.told(*news)
+            return
         self.expect(self.silent_for)
+        self.leave()
         if value is not None:
             news = self.take(value)
+            if self.fresh:
+                self.log.write("watch", f"{self.address} tells {len(news[1])} of {news[0].value}, "
+                                        f"version {self.index}")
             self.fresh = False
             self.told(*news)
         elif self.fresh:
@@ -214,6 +262,7 @@
 
     def close(self) -> None:
         """End the watch for good."""
+        self.leave()
         if self.timer is not None:
             self.timer.cancel()
         connection, self.connection = self.connection, None
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -16,6 +16,7 @@
     d send list INDEX NAME=STATE[@SINCE] ... / changes ... / beat / raw TEXT
     log expect CODE                                    a line with this code has been logged
     term send                                          SIGTERM
+    hup send [KEY=VALUE ...]                           SIGHUP, the file's keys changed first
 """
 
 from __future__ import annotations
@@ -165,7 +166,8 @@
         self.clock = Clock()
         self.clock.advance(1000.0)
         self.config = config
-        self.app = App(config, self)
+        self.raw = platform()
+        self.app = App(config, self, lambda: config_of(self.raw, {}))
         self.app.deadlines.seconds = self.clock.seconds
         self.app.deadlines.offset = 0.0
         self.app.log.clock = self.app.deadlines.now
@@ -244,6 +246,7 @@
         if progress:
             config = Config(**{**vars(config), "progress": Progress(enabled=True)})
         self.world = World(config)
+        self.world.raw = platform(workers, **more)
         return self.world
 
     def play(self, script: str, **setup: Any) -> None:
@@ -425,6 +428,10 @@
     def term_send(self, actor: str, words: str) -> None:
         self.world.app.sigterm()
 
+    def hup_send(self, actor: str, words: str) -> None:
+        self.world.raw |= dict(word.split("=", 1) for word in words.split())
+        self.world.app.sighup()
+
     def term_expect(self, actor: str, words: str) -> None:
         self.assertEqual(words == "exit", self.world.stopped)
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -11,6 +11,7 @@
 import socket
 import subprocess
 import sys
+import tempfile
 import threading
 import unittest
 from pathlib import Path
@@ -96,14 +97,14 @@
         raw = platform()
         raw["known"]["endpoints"] = [entry("w1", address=self.worker.address)]
         raw.update(listen="127.0.0.1:0", discovery=self.discovery.address)
-        read, write = os.pipe()
-        env = {**os.environ, "RELAY_CONFIG": f"/dev/fd/{read}"}
-        os.write(write, json.dumps(raw).encode())
-        os.close(write)
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.raw, self.file = raw, Path(folder.name, "config.json")
+        self.file.write_text(json.dumps(raw))
+        env = {**os.environ, "RELAY_CONFIG": str(self.file)}
         self.program = subprocess.Popen(
-            [sys.executable, "-m", "elderstall", *options], cwd=ROOT, env=env, pass_fds=[read],
+            [sys.executable, "-m", "elderstall", *options], cwd=ROOT, env=env,
             stderr=subprocess.PIPE, text=True)
-        os.close(read)
         self.addCleanup(self.end)
         assert self.program.stderr is not None
         line = self.program.stderr.readline()
@@ -192,6 +193,31 @@
         self.assertEqual(0, self.program.wait(PATIENCE))
         self.assertEqual(1, self.calls.count("POST held"))
 
+    def test_sighup_moves_the_watch_and_the_program_serves_on(self) -> None:
+        self.begin()
+        moved = threading.Event()
+
+        def watch(line: Line) -> None:
+            self.assertIn("from=0", line.read().target)
+            moved.set()
+            line.read()
+
+        other = Peer(watch)
+        self.addCleanup(other.close)
+        line = self.connect()
+        line.sock.sendall(self.job("held", "deck-build"))
+        self.assertTrue(self.seen.wait(PATIENCE))
+        self.file.write_text("{")
+        self.program.send_signal(signal.SIGHUP)
+        while not any("nothing changed: RELAY_CONFIG" in call for call in self.calls):
+            self.assertEqual(200, self.ask(http.request("GET", "/up", "x")).status)
+        self.file.write_text(json.dumps({**self.raw, "discovery": other.address}))
+        self.program.send_signal(signal.SIGHUP)
+        self.assertTrue(moved.wait(PATIENCE))
+        self.call_back("held")
+        self.assertEqual(b"deck held", line.read().body)
+        line.sock.close()
+
     def test_a_time_out_is_answered_and_the_worker_told(self) -> None:
         self.begin()
         answer = self.ask(self.job("never", "deck-build", 300))
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -537,6 +537,94 @@
         """, workers=2)
 
 
+class Reloads(Scenario):
+    """SIGHUP."""
+
+    def test_the_watch_moves_at_once_and_jobs_live_on(self) -> None:
+        """Guards against a signal that ends the program, and versions of one address meant for another."""
+        self.play("""
+            d expect watch 41
+            d send changes 44 w2=up
+            c send job a1 deck-build
+            w expect POST a1
+            w send 202
+            hup send discovery=127.0.0.1:2
+            d expect watch 0
+            d send changes 7 w3=up
+            w send call done a1 hello
+            c expect 200 hello
+            c send job a2 deck-fetch
+            w expect POST a2
+            log expect end:moved
+            d close
+            wait 400
+            d expect watch 7
+        """)
+        self.assertEqual({"w1", "w2", "w3"}, set(self.world.app.discovery.addresses))
+
+    def test_the_former_watch_is_heard_until_the_new_one_speaks(self) -> None:
+        """Guards the rule on drains: a change that was written just before the move counts as told."""
+        self.play("d expect watch 41\nd send beat\nhup send discovery=127.0.0.1:2")
+        new = self.world.watches.pop()
+        self.play("d send changes 50 w1=draining\nc send job a1 deck-fetch\nw expect nothing\nd close")
+        self.world.watches.append(new)
+        self.play("d expect watch 0\nd send changes 3 w1=up\nwait 100\nw expect POST a1")
+        self.assertEqual(3, self.world.app.discovery.index)
+
+    def test_a_faulty_file_changes_nothing_and_its_key_is_logged(self) -> None:
+        self.play("""
+            d expect watch 41
+            hup send discovery=nowhere
+            log expect reload nothing changed: discovery
+            hup send discovery=127.0.0.1:2 seed=xyz
+            log expect reload nothing changed: seed
+            d expect nothing
+            hup send seed=6 name=n2
+            log expect reload only a restart changes name
+            d expect watch 0
+        """)
+
+    def test_several_in_a_row_unchanged_files_and_a_drain_under_way(self) -> None:
+        self.play("""
+            d expect watch 41
+            d send beat
+            hup send
+            d expect nothing
+            c send job a1 deck-build
+            w expect POST a1
+            w send 202
+            term send
+            hup send discovery=127.0.0.1:2
+            hup send discovery=127.0.0.1:3
+            hup send
+        """)
+        self.assertEqual([False, True, False], [peer.wire.shut for peer in self.world.watches])
+        self.play("""
+            d send changes 9 w1=up
+            wait 800
+            w send call done a1 hello
+            c expect 200 hello
+            c close
+            wait 1200
+            term expect exit
+        """)
+        self.assertTrue(all(peer.wire.shut for peer in self.world.watches))
+
+    def test_a_move_does_not_wait_for_what_failed_before(self) -> None:
+        """Guards against a call that still comes up, or a pause after a failure, holding up the move."""
+        self.play("d expect watch 41\nd close silent\nd close\nwait 1000")
+        del self.world.shut["d"]
+        self.play("hup send discovery=127.0.0.1:2\nd expect watch 0")
+
+    def test_new_limits_hold_at_once(self) -> None:
+        self.begin()
+        soft = self.world.app.server.soft
+        self.world.raw["limits"] = {"sockets": 128, "memory_mb": 64}
+        self.play("hup send")
+        self.assertLess(self.world.app.server.soft, soft / 4)
+        self.assertEqual(5 * 1024 * 1024, self.world.app.server.weight_most)
+
+
 class Lists(Scenario):
     """Discovery."""
 
