Send more than one job to a worker whose report shows a free slot, by our part of it

Checked, by tracing attempts and reports: all workers report cpu .5 and one of two slots free at each end, so half the fleet idles while jobs are held. Starts are not told on this deployment, so Worker.limit stays 1 (has_room, next_in): with two dispatchers, one busy and one quiet, the busy one can use half of each worker.

--- a/elderstall/choice.py
+++ b/elderstall/choice.py
@@ -47,6 +47,8 @@
 HELD = 2.0  # times the fleet's mean of jobs held: a worker that the list shows above takes no more by key
 SHARE_JOBS = 5.0  # jobs of a burst within a tenant's share: at a light dispatcher they come by chance
 REPORT_TRUST = 0.9  # of reported free slots are believed, for reports are noisy
+FREE_LEAST = 0.9  # slots that a report must show free for more than one job of ours: it is a second old
+OWN_MOST = 3  # jobs of ours on one worker, where starts are not told: our part of it is a guess
 WAIT_PART = 0.5  # of a dispatcher's slots may wait in workers' queues: it keeps slots busy between notes
 CROWD_AGE = 2.0  # mean jobs' time after which an overdue start speaks of a stuck worker, not of a full fleet
 STUCK_MOST = 0.15  # of the workers may be taken for stuck; were it more, the fleet is full (ied79d9)
@@ -439,7 +441,7 @@
 
     def has_room(self, w: Worker, job: Job) -> bool:
         """Refuse a worker skipped, filled by our attempts, as believed, or with an overdue start of ours."""
-        if not w.open or w.skip_until > self.now or (w.used and w.used + job.slots > w.limit):
+        if not w.open or w.skip_until > self.now or (w.used and w.used + job.slots > self.most_on(w)):
             return False
         risky = job.cls.effect is not Effect.SAFE and job.ran_on is None
         if w.proving and (w.used or risky) and self.few_faulty():
@@ -449,6 +451,12 @@
             return False
         return job.cls.kind in (None, w.kind) and self.cold_room(w, job)
 
+    def most_on(self, w: Worker) -> int:
+        """Give the slots open to us: where starts are not told, by our part of it and if one is told free."""
+        if self.s.tells_start or w.free < FREE_LEAST:
+            return w.limit
+        return max(w.limit, min(OWN_MOST, int(1 + 2 * w.slots * self.claim)))
+
     def few_faulty(self) -> bool:
         """Say whether those that must prove themselves are few enough to be taken for faulty."""
         return sum(w.proving > 0 for w in self.cut + self.common) <= FAULTY_MOST * len(self.cut + self.common)
@@ -476,7 +484,7 @@
         best, least = None, (9, False, 0.0)
         run, aim = LONG * job.work, job.cls.aim + job.cls.stretch * LONG * job.work
         for w in pool:
-            if w.skip_until > self.now or (w.used and w.used >= w.limit):  # has_room would refuse; spares CPU
+            if w.skip_until > self.now or (w.used and w.used >= self.most_on(w)):  # spares CPU
                 continue
             # Where slots are whole, a cold worker in whose window we have a turn is as good as our own.
             over = w.used + job.slots > w.fair and (w.used > 0 or not w.fair and not self.cold(w))
@@ -735,6 +743,7 @@
             self.running -= job.slots
         if e.report and self.s.report_free_slots is not None:
             self.kinds[w.kind][3] = 1.0
+            w.free = e.report[self.s.report_free_slots]
             self.saw_slots(w, int(e.report[self.s.report_free_slots] * REPORT_TRUST))
         if ending is Ending.SERVED:
             w.proving = max(0, w.proving - 1)
--- a/elderstall/records.py
+++ b/elderstall/records.py
@@ -51,6 +51,7 @@
     time: float = 0.0  # decayed running time of the same
     skip_until: float = -math.inf
     skip: float = 0.0
+    free: float = 0.0  # slots free by its latest report
     proving: int = 0  # safe jobs it must serve, one at a time, after an error before it has others again
     speed: float = 1.0  # learned; a standard core is 1
     slots: float = 1.0  # believed
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -97,3 +97,21 @@
             d.end(o, i.Ending.ERROR)
             served.add(o.worker)
     assert len(served) == 4
+
+
+def test_a_reported_free_slot_opens_a_worker_to_more_where_starts_are_not_told() -> None:
+    """Guards against a busy dispatcher that holds jobs while half of each worker idles (rude+fleet, .26)."""
+    most = []
+    for dispatchers, free in ((2, 1.0), (2, 0.2), (8, 1.0)):
+        s = settings(classes=(UNSAFE,), dispatchers=dispatchers, tells_start=False, report_free_slots=0)
+        d = Driver(s)
+        d.listed(fleet(1))
+        d.arrive(0, UNSAFE)
+        out = d.outs()[0]
+        del d.jobs[0].out[0]
+        d.jobs[0].ended = True
+        d.tell(i.AttemptEnded(0, 0, out.worker, i.Ending.SERVED, True, (free,)))
+        for job in range(1, 6):
+            d.arrive(job, UNSAFE)
+        most.append(len(d.outs()))
+    assert most == [2, 1, 1]
