Give up workers' connections that fall silent, and keep free ones for less where they are cut

Checked, by tracing attempts and connections. Silent: 7 connections stop answering; each job on one hangs to its deadline (5 to 20 s) with no 202 and no call-back, holds its worker, and attempt_ended then skips that worker for twice as long. A 202 otherwise takes about 1 ms. Twisted hears of the cut only with the next write, so the idle timer (8 s of the 10 s told) is no help. Ruled out: the worker (the next connection works at once), our own retirement.

Now four connect time-outs (1 s) without a word close the connection; the attempt may have run, the free connections to that worker are dropped. A reset within 50 ms on a reused connection halves how long all are kept; after 10 s without one twice as long again, later to 60 s.

--- a/elderstall/app.py
+++ b/elderstall/app.py
@@ -36,7 +36,7 @@
         carrier, listener = (StreamWorkers, ProgressServer) if config.progress.enabled else (Workers, Server)
         self.workers = carrier(
             self.deadlines, self.connect_worker, self.log, config.report_fields, config.idle_ms,
-            config.worker_connections)
+            config.worker_connections, config.connect_ms)
         self.core = Core(config.settings, config.seed, self.deadlines, self.workers, self.log,
                          config.slack_ms, config.max_open)
         self.discovery = Discovery(self.deadlines, self.log, self.connect_discovery, self.workers,
--- a/elderstall/net/sse.py
+++ b/elderstall/net/sse.py
@@ -147,7 +147,7 @@
         self.note = note
         self.events: EventParser | None = None
         self.ended = False
-        self.stop: Callable[[], None] = lambda: None
+        self.stop: Callable[[], bool] = lambda: False
 
     def head(self, message: http.Message) -> None:
         """Take the head: a stream, or an answer of the platform's protocol."""
@@ -170,14 +170,13 @@
             if self.ended:
                 break
 
-    def over(self, outcome: Outcome) -> None:
+    def over(self, outcome: Outcome | None) -> None:
         """Give the attempt's end; the connection has a little time to finish the answer."""
         if not self.ended:
             self.ended = True
             if self.events is not None:
                 self.workers.deadlines.after(AFTER_RESULT, lambda: self.stop())
-            if not self.fired.called:
-                self.fired.callback(outcome)
+            super().over(outcome)
 
     def done(self) -> None:
         """Take the answer's end: a stream that ends without a result was broken off."""
@@ -198,8 +197,11 @@
     """The carrier that asks workers for streams."""
 
     def begin(self, pool: Pool, ask: Ask, budget: float, note: Callable[[float, str], None],
-              done: Deferred[Outcome | None]) -> Callable[[], None]:
-        """Start the exchange of a job; its body is passed on as it comes, so no limit holds for the whole."""
+              done: Deferred[Outcome | None]) -> Callable[[], bool]:
+        """Start the exchange of a job; its body is passed on as it comes, so no limit holds for the whole.
+
+        A stream may begin with the job's start, so its worker's first word is waited for to the deadline.
+        """
         exchange = Streamed(self, done, note)
         request = self.job_request(ask, pool.address, budget, MEDIA_TYPE)
         exchange.stop = pool.begin(request, exchange, max_body=0)
--- a/elderstall/net/workers.py
+++ b/elderstall/net/workers.py
@@ -25,6 +25,10 @@
     "connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "te", "trailer",
     "transfer-encoding", "upgrade", "host", "content-length", "expect", "x-budget-ms"})
 RECALL_WAIT = 2_000.0  # ms that a DELETE may take; its worker may have vanished
+ACCEPT_WAIT = 4.0  # connect time-outs within which a worker says that it has a job, else the path is dead
+STALE_WITHIN = 50.0  # ms: a reused connection that breaks this soon after a request was gone before it
+KEEP_LEAST = 20.0  # ms that a free connection is kept in any case, for what follows at once
+KEEP_AGAIN = 10_000.0, 60_000.0  # ms after which connections are kept twice as long again: first, and at most
 
 Connect = Callable[[str, Factory], Deferred["WorkerConnection"]]  # to an address, within the time allowed
 
@@ -61,6 +65,9 @@
         self.reason = "worker-closed"
         self.number = 0
         self.idle_timer: Deadline | None = None
+        self.began = 0.0  # when its request was handed over
+        self.rested: float | None = None  # when it became free, if it was used before
+        self.unused_for = 0.0  # ms that it was free before this request
 
     def connectionMade(self) -> None:  # noqa: N802, D102
         self.transport.setTcpNoDelay(True)
@@ -70,6 +77,8 @@
         """Write a request. As a pull producer the connection is asked for more once it is all written."""
         if self.idle_timer is not None:
             self.idle_timer.cancel()
+        self.began = self.pool.workers.deadlines.now()
+        self.unused_for = 0.0 if self.rested is None else self.began - self.rested
         self.parser.max_body = max_body
         self.request, self.exchange, self.written = request, exchange, False
         self.transport.registerProducer(self, False)
@@ -134,6 +143,7 @@
             if self.parser.eof() is not None:
                 exchange.done()
             else:
+                self.pool.workers.broke_off(self)
                 exchange.broke(self.written)
 
 
@@ -156,7 +166,8 @@
             connection.drop("retired")
             return
         self.idle.append(connection)
-        connection.idle_timer = self.workers.deadlines.after(self.workers.idle_for, self.retire, connection)
+        connection.rested = self.workers.deadlines.now()
+        connection.idle_timer = self.workers.deadlines.after(self.workers.keep, self.retire, connection)
 
     def retire(self, connection: WorkerConnection) -> None:
         """Close an idle connection."""
@@ -173,14 +184,22 @@
     def close(self) -> None:
         """Drop the idle connections, and those in use once they are free."""
         self.closed = True
+        self.doubt()
+
+    def doubt(self, unused_for: float = 0.0) -> None:
+        """Drop the connections that have been free for so long."""
+        since = self.workers.deadlines.now() - unused_for
         for connection in self.idle[::-1]:
-            self.retire(connection)
+            if connection.rested is None or connection.rested <= since:
+                self.retire(connection)
 
-    def begin(self, request: bytes, exchange: Exchange, max_body: int = http.MAX_BODY) -> Callable[[], None]:
+    def begin(self, request: bytes, exchange: Exchange, max_body: int = http.MAX_BODY) -> Callable[[], bool]:
         """Send a request over the newest idle connection, or a new one; gives what calls it off.
 
-        No request is ever written twice: a connection that breaks tells the exchange, and that is all.
+        That in turn says whether the request may have left. No request is ever written twice: a connection
+        that breaks tells the exchange, and that is all.
         """
+        self.doubt(self.workers.keep)  # it may have been cut since they came to rest
         if self.idle:
             connection = self.idle.pop()
             connection.start(request, exchange, max_body)
@@ -188,7 +207,7 @@
         if len(self.workers.connections) + self.workers.opening >= self.workers.most:
             self.workers.log.write("limit", f"no descriptor for a connection to {self.name}")
             exchange.broke(False)
-            return lambda: None
+            return lambda: False
         state: dict[str, WorkerConnection] = {}
         self.workers.opening += 1
         connecting = self.workers.connect(self.address, self)
@@ -209,19 +228,21 @@
 
         connecting.addCallbacks(up, down).addErrback(bug)
 
-        def cancel() -> None:
+        def cancel() -> bool:
             if "up" in state:
-                self.call_off(state["up"], exchange)
-            else:
-                connecting.cancel()
+                return self.call_off(state["up"], exchange)
+            connecting.cancel()
+            return False
 
         return cancel
 
-    def call_off(self, connection: WorkerConnection, exchange: Exchange) -> None:
-        """Close the connection if it still carries the exchange."""
-        if connection.exchange is exchange:
-            connection.exchange = None
-            connection.drop("given-up")
+    def call_off(self, connection: WorkerConnection, exchange: Exchange) -> bool:
+        """Close the connection if it still carries the exchange; say whether its request may have left."""
+        if connection.exchange is not exchange:
+            return True
+        connection.exchange = None
+        connection.drop("given-up")
+        return connection.written
 
 
 class Posted:
@@ -229,6 +250,29 @@
 
     def __init__(self, workers: Workers, done: Deferred[Outcome | None]) -> None:
         self.workers, self.fired, self.message = workers, done, http.Message((1, 1), http.Headers())
+        self.timer: Deadline | None = None
+
+    def expect(self, pool: Pool, cancel: Callable[[], bool]) -> Callable[[], bool]:
+        """Wait for the worker's word only as long as one on a living path takes.
+
+        Guards against a connection that fell silent: its job would hang to its deadline, and hold its worker.
+        """
+        def silent() -> None:
+            if not self.fired.called:
+                self.workers.log.write("silent", f"{pool.name} does not answer a job")
+                pool.doubt()  # what is free there may be as dead
+                self.broke(cancel())
+
+        if not self.fired.called:
+            self.timer = self.workers.deadlines.after(self.workers.accept_for, silent)
+        return cancel
+
+    def over(self, outcome: Outcome | None) -> None:
+        """Give the outcome."""
+        if self.timer is not None:
+            self.timer.cancel()
+        if not self.fired.called:
+            self.fired.callback(outcome)
 
     def head(self, message: http.Message) -> None:
         """Take the head."""
@@ -239,12 +283,11 @@
 
     def done(self) -> None:
         """Take the end."""
-        outcome = None if self.message.status == 202 else self.workers.outcome_of(self.message)
-        self.fired.callback(outcome)
+        self.over(None if self.message.status == 202 else self.workers.outcome_of(self.message))
 
     def broke(self, written: bool) -> None:
         """Take the connection's end."""
-        self.fired.callback(Outcome(Ending.BROKEN if written else Ending.UNREACHABLE))
+        self.over(Outcome(Ending.BROKEN if written else Ending.UNREACHABLE))
 
 
 class Recalled:
@@ -273,14 +316,36 @@
     """The pools of all workers."""
 
     def __init__(self, deadlines: Deadlines, connect: Connect, log: Log, report_fields: tuple[str, ...] = (),
-                 idle_for: float = 8_000.0, most: int = 300) -> None:
+                 idle_for: float = 8_000.0, most: int = 300, connect_for: float = 250.0) -> None:
         self.deadlines, self.connect, self.log = deadlines, connect, log
         self.report_fields, self.idle_for = report_fields, idle_for
+        self.accept_for = ACCEPT_WAIT * connect_for
+        self.cut_to, self.cut_at, self.again = idle_for, 0.0, KEEP_AGAIN[0]  # see keep
         self.connections: Slots[WorkerConnection] = Slots()
         self.most, self.opening = most, 0  # those still coming up count too
         self.pools: dict[str, Pool] = {}
         self.started: dict[str, float | None] = {}
 
+    @property
+    def keep(self) -> float:
+        """Say how long free connections are kept, ms: less where some were cut, and then ever longer."""
+        doublings = min((self.deadlines.now() - self.cut_at) / self.again, 16.0)
+        return float(min(self.idle_for, self.cut_to * 2 ** doublings))
+
+    def broke_off(self, connection: WorkerConnection) -> None:
+        """Learn from a connection that broke with a request on it.
+
+        Guards jobs that must not be repeated: where something on the path cuts free connections, the request
+        that finds out may have run for all we know.
+        """
+        now = self.deadlines.now()
+        if connection.unused_for > 0 and now - connection.began <= STALE_WITHIN:
+            first, most = KEEP_AGAIN
+            self.again = first if self.keep >= self.idle_for else min(2 * self.again, most)
+            self.cut_to, self.cut_at = max(KEEP_LEAST, min(self.keep, connection.unused_for) / 2), now
+            self.log.write("stale", f"{connection.pool.name} cut a connection free for "
+                                    f"{connection.unused_for:.0f} ms; kept {self.cut_to:.0f} ms now")
+
     def listed(self, name: str, address: str, started: float | None) -> None:
         """Take a worker's address; a changed one or a restart drops the pool."""
         pool = self.pools.get(name)
@@ -329,8 +394,13 @@
              ) -> Deferred[Outcome | None]:
         """Send a job; see ``core.Carrier``."""
         pool = self.pools.get(worker)
-        stop: list[Callable[[], None]] = []
-        done: Deferred[Outcome | None] = Deferred(lambda _: stop[0]() if stop else None)
+        stop: list[Callable[[], bool]] = []
+
+        def canceller(_: object) -> None:
+            for call_off in stop:
+                call_off()
+
+        done: Deferred[Outcome | None] = Deferred(canceller)
         if pool is None:
             done.callback(Outcome(Ending.UNREACHABLE))
             return done
@@ -338,9 +408,10 @@
         return done
 
     def begin(self, pool: Pool, ask: Ask, budget: float, note: Callable[[float, str], None],
-              done: Deferred[Outcome | None]) -> Callable[[], None]:
+              done: Deferred[Outcome | None]) -> Callable[[], bool]:
         """Start the exchange of a job."""
-        return pool.begin(self.job_request(ask, pool.address, budget), Posted(self, done))
+        exchange = Posted(self, done)
+        return exchange.expect(pool, pool.begin(self.job_request(ask, pool.address, budget), exchange))
 
     def recall(self, worker: str, cid: str) -> Deferred[None]:
         """Tell a worker to give up a job that it has taken; see ``core.Carrier``."""
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -272,6 +272,46 @@
         """)
         self.assertEqual(2, len(self.world.workers))
 
+    def test_a_worker_that_does_not_answer_is_not_waited_for(self) -> None:
+        """Guards against a kept connection that fell silent: jobs hung on it to their deadlines."""
+        self.play("""
+            c send job a1 deck-fetch
+            w expect POST a1
+            w send 202
+            w send call done a1
+            c expect 200
+            c send job a2 deck-fetch
+            w expect POST a2
+            wait 990
+            w expect nothing
+            wait 120
+            log expect silent
+            log expect end:given-up
+            c expect 503
+            wait 300
+            c send job a3 deck-build
+            w expect POST a3
+            w send call done a3 early
+            c expect 200 early
+            c send job a4 deck-build
+            w expect POST a4
+            wait 1010
+            c expect 502
+        """)
+
+    def test_where_free_connections_are_cut_they_are_kept_for_less(self) -> None:
+        """Guards jobs that must not be repeated: the one that finds the cut may have run for all we know."""
+        done = "w send 202\nw send call done {0}\nc expect 200\n"
+        ask = "c send job {0} deck-fetch\nw expect POST {0}\n"
+        self.play(ask.format("a1") + done.format("a1") + "wait 400\n" + ask.format("a2"))
+        self.play("w close\nlog expect stale\nwait 150\nw expect POST a2\n" + done.format("a2"))
+        workers = self.world.app.workers
+        self.assertAlmostEqual(200, workers.keep, delta=5)
+        self.play("wait 190\n" + ask.format("a3") + done.format("a3") + "wait 220\nlog expect end:idle")
+        self.assertEqual(2, len(self.world.workers))
+        self.play(ask.format("a4") + done.format("a4") + "wait 60000")
+        self.assertEqual((3, workers.idle_for), (len(self.world.workers), workers.keep))
+
     def test_input_split_anywhere_is_read(self) -> None:
         self.play("""
             c send bytewise job a1 deck-fetch
