Let clients keep their connections while draining, until new jobs are refused

Checked, in both logs: n1 gets SIGTERM at 13.5 s and starts again at 18.5, n0 gets it at 16.5. closes() ended each client's connection with its first answer after SIGTERM, so clients that n0 would have served for 0.7 s went away to a front that had nobody to give them to.

Now connections are closed from 0.7 s on, when jobs are refused; /up says 503 at once as before.

--- a/elderstall/net/server.py
+++ b/elderstall/net/server.py
@@ -484,11 +484,12 @@
 
     def closes(self, connection: ServerConnection) -> bool:
         """Say whether a connection ends after its answer."""
-        return self.draining and connection.client
+        # Not yet while draining: clients that we send away may find no other dispatcher just then.
+        return self.refusing and connection.client
 
     def close_reason(self) -> str:
         """Name the reason of such an end."""
-        return "drain" if self.draining else "closed-after"
+        return "drain" if self.refusing else "closed-after"
 
     # ---- requests ----
 
@@ -571,7 +572,7 @@
     # ---- the end ----
 
     def drain(self) -> None:
-        """Say at ``/up`` that the program ends; connections close with their next answer."""
+        """Say at ``/up`` that the program ends; clients are served on until ``refuse``."""
         self.draining = True
 
     def refuse(self) -> None:
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -554,7 +554,13 @@
             term send
             c2 send raw GET /up HTTP/1.1\\r\\nHost: x\\r\\n\\r\\n
             c2 expect 503
-            wait 600
+            wait 300
+            c3 send job a0 deck-fetch
+            w2 expect POST a0
+            w2 send 202
+            w2 send call done a0 zero
+            c3 expect 200 zero
+            wait 300
             c3 send job a2 deck-fetch
             w2 expect POST a2
             w2 send 202
