Tell kept connections that are cut from workers that reset, by how often each breaks

Checked, in the log: a single reset of a connection just made put keep back to 8 s and stopped the learning for 10 s (broke_off).

Now kept connections are taken for cut while they break more than twice as often as new ones, by counts that decay over some fifty uses.

--- a/elderstall/net/workers.py
+++ b/elderstall/net/workers.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import math
 from collections.abc import Callable
 from typing import Any
 from typing import Protocol as Shape
@@ -29,6 +28,8 @@
 ACCEPT_WAIT = 4.0  # connect time-outs within which a worker says that it has a job, else the path is dead
 STALE_WITHIN = 50.0  # ms: a reused connection that breaks this soon after a request was gone before it
 KEEP_LEAST = 20.0  # ms that a free connection is kept in any case, for what follows at once
+RECENT = 0.98  # of what was counted of connections' uses remains after each: some fifty count
+STALE_RATIO = 2.0  # times as often as new connections must kept ones break to be taken for cut
 KEEP_AGAIN = 10_000.0, 60_000.0  # ms after which connections are kept twice as long again: first, and at most
 
 Connect = Callable[[str, Factory], Deferred["WorkerConnection"]]  # to an address, within the time allowed
@@ -80,6 +81,7 @@
             self.idle_timer.cancel()
         self.began = self.pool.workers.deadlines.now()
         self.unused_for = 0.0 if self.rested is None else self.began - self.rested
+        self.pool.workers.used(self)
         self.parser.max_body = max_body
         self.request, self.exchange, self.written = request, exchange, False
         self.transport.registerProducer(self, False)
@@ -334,7 +336,7 @@
         self.report_fields, self.idle_for = report_fields, idle_for
         self.accept_for = ACCEPT_WAIT * connect_for
         self.cut_to, self.cut_at, self.again = idle_for, 0.0, KEEP_AGAIN[0]  # see keep
-        self.reset_at = -math.inf  # when a connection just made broke
+        self.uses, self.breaks = [0.0, 0.0], [0.0, 0.0]  # of connections just made and kept, decaying
         self.connections: Slots[WorkerConnection] = Slots()
         self.most, self.opening = most, 0  # those still coming up count too
         self.pools: dict[str, Pool] = {}
@@ -346,19 +348,28 @@
         doublings = min((self.deadlines.now() - self.cut_at) / self.again, 16.0)
         return float(min(self.idle_for, self.cut_to * 2 ** doublings))
 
+    def used(self, connection: WorkerConnection) -> None:
+        """Count a use of a connection."""
+        for counts in (self.uses, self.breaks):
+            counts[:] = [n * RECENT for n in counts]
+        self.uses[connection.unused_for > 0] += 1
+
     def broke_off(self, connection: WorkerConnection) -> None:
         """Learn from a connection that broke with a request on it.
 
         Guards jobs that must not be repeated: where something on the path cuts free connections, the request
         that finds out may have run for all we know.
         """
-        now, (first, most) = self.deadlines.now(), KEEP_AGAIN
         if not connection.quick:
             return
-        if connection.unused_for <= 0:
+        kept = connection.unused_for > 0
+        self.breaks[kept] += 1
+        new, old = (b / (n + 1) for b, n in zip(self.breaks, self.uses, strict=True))
+        now, (first, most) = self.deadlines.now(), KEEP_AGAIN
+        if old <= STALE_RATIO * new:
             # Workers reset any connection: keeping fewer would only cost them handshakes.
-            self.reset_at, self.cut_to = now, self.idle_for
-        elif now - self.reset_at > first:
+            self.cut_to = self.idle_for
+        elif kept:
             self.again = first if self.keep >= self.idle_for else min(2 * self.again, most)
             self.cut_to, self.cut_at = max(KEEP_LEAST, min(self.keep, connection.unused_for) / 2), now
             self.log.write("stale", f"{connection.pool.name} cut a connection free for "
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -319,7 +319,10 @@
         self.play(ask.format("a1") + "w close\nwait 150\nw expect POST a1\n" + done.format("a1"))
         self.play("wait 300\n" + ask.format("a2") + "w close\nwait 300\nw expect POST a2")
         self.play(done.format("a2"))
-        self.assertEqual(self.world.app.workers.idle_for, self.world.app.workers.keep)
+        workers = self.world.app.workers
+        self.assertEqual(workers.idle_for, workers.keep)
+        workers.breaks[0], workers.uses = 1.0, [20.0, 5.0]  # one new connection in twenty breaks all the same
+        self.play("wait 300\n" + ask.format("a3") + "w close\nlog expect stale")
 
     def test_input_split_anywhere_is_read(self) -> None:
         self.play("""
