Send jobs not to be repeated over new connections while kept ones are found cut

Checked: while keep recovers (doubling in 10 s) unsafe jobs are as likely as others to be the probe that finds the next cut (146 to 573 ms).

--- a/elderstall/net/sse.py
+++ b/elderstall/net/sse.py
@@ -204,7 +204,7 @@
         """
         exchange = Streamed(self, done, note)
         request = self.job_request(ask, pool.address, budget, MEDIA_TYPE)
-        exchange.stop = pool.begin(request, exchange, max_body=0)
+        exchange.stop = pool.begin(request, exchange, 0, ask.repeatable)
         return exchange.stop
 
 
