Answer operators on a second address: ready, and the figures of jobs, attempts and workers

net/console.py is the front, core.Figures the counts: made in Core.close (an answer given), Core.wrote (the carrier wrote the last byte, WorkerConnection.resumeProducing) and Core.turned_away (the front's own 503 to a job with a good head). Avoided workers are a query to the module (Dispatcher.avoided).

--- a/elderstall/app.py
+++ b/elderstall/app.py
@@ -13,6 +13,7 @@
 from elderstall.core import Core
 from elderstall.deadlines import Deadlines
 from elderstall.log import Log
+from elderstall.net.console import Console
 from elderstall.net.discovery import Discovery, WatchConnection
 from elderstall.net.server import Server
 from elderstall.net.sse import ProgressServer, StreamWorkers
@@ -22,6 +23,7 @@
 LOOK_EVERY = 50.0  # ms between looks whether all is answered
 DISCOVERY_CONNECT = 2.0  # s
 BACKLOG = 1024
+CONSOLE_BACKLOG = 64  # operators' calls that wait while the program is in another turn
 
 
 class App:
@@ -42,6 +44,8 @@
         self.discovery = Discovery(self.deadlines, self.log, self.connect_discovery, self.workers,
                                    self.core.listed, config.discovery, config.live_weights)
         self.core.follow = self.discovery.follow
+        self.workers.wrote = self.core.wrote
+        self.console = Console(self.deadlines, self.log, lambda: self.ready, self.core.figures, {})
         self.server = listener(self.core, self.deadlines, self.log, self.workers.report_of,
                                config.client_hard, config.client_soft, config.reading_bytes)
         if isinstance(self.server, ProgressServer):
@@ -49,6 +53,11 @@
         self.port: Any = None
         self.stopping = False
 
+    @property
+    def ready(self) -> bool:
+        """Whether this process serves: it listens, and no end is planned."""
+        return self.port is not None and not self.stopping
+
     def connect_worker(self, address: str, factory: Factory) -> Deferred[WorkerConnection]:
         """Open a connection to a worker within the settings' time."""
         host, port = address_of(address, "address")
@@ -63,6 +72,10 @@
 
     def start(self) -> None:
         """Take the known list, then listen: from the first ``/up`` on clients may come."""
+        if self.config.console is not None:
+            host, port = self.config.console
+            at = self.reactor.listenTCP(port, self.console, backlog=CONSOLE_BACKLOG, interface=host).getHost()
+            self.log.write("console", f"{at.host}:{at.port}")
         _, entries = self.discovery.take(self.config.known)
         self.core.start(entries)
         self.port = self.reactor.listenTCP(
@@ -87,8 +100,10 @@
         try:
             told = self.read()
         except ConfigError as error:
+            self.core.counts.load_errors += 1
             self.log.write("reload", f"nothing changed: {error}")
             return
+        self.core.counts.loads += 1
         if keys := fixed_keys(self.config, told):
             self.log.write("reload", f"only a restart changes {', '.join(keys)}")
         moved = told.discovery != self.config.discovery
--- a/elderstall/choice.py
+++ b/elderstall/choice.py
@@ -360,6 +360,10 @@
             pool[:] = self.cut[at:at + n] + self.common
             at += n
 
+    def avoided(self, now: float) -> set[str]:
+        """Name the workers that get no new jobs now, or only such as prove them."""
+        return {w.name for w in self.workers.values() if not w.open or w.skip_until > now or w.proving}
+
     # ---- learned capacity ----
 
     def refresh(self, w: Worker) -> None:
--- a/elderstall/config.py
+++ b/elderstall/config.py
@@ -10,11 +10,13 @@
 from typing import Any
 
 from elderstall import interface as i
+from elderstall.net.console import CALLERS
 from elderstall.net.discovery import ListError, list_of
 from elderstall.settings import settings_of
 
 IDLE_PART = 0.8  # of the workers' conn_idle that our connections stay idle: clearly earlier
 OWN_PART = 16  # one descriptor in so many, and 16 at least, is for the program itself
+CONSOLE_OWN = CALLERS + 1  # descriptors that the second address keeps back: its callers, and its listener
 WORKER_PART = 0.3  # of the others are for connections to workers
 SOFT_PART = 0.8  # of the clients' descriptors are used before connections are shed
 MIN_SOCKETS = 64
@@ -59,6 +61,7 @@
     client_hard: int
     reading_bytes: int
     progress: Progress = Progress()
+    console: tuple[str, int] | None = None  # the second address to listen on
 
 
 def address_of(text: Any, key: str) -> tuple[str, int]:
@@ -144,7 +147,8 @@
         raise ConfigError(f"seed: {seed!r} is no hexadecimal number") from None
     sockets = int(number(table(raw, "limits"), "sockets", 1_024, "limits", MIN_SOCKETS))
     memory = number(table(raw, "limits"), "memory_mb", 128.0, "limits", 1)
-    usable = sockets - max(16, sockets // OWN_PART)
+    console = raw.get("console", env.get("RELAY_CONSOLE")) or None
+    usable = sockets - max(16, sockets // OWN_PART) - (CONSOLE_OWN if console else 0)
     workers = int(usable * WORKER_PART)
     fields = report.get("fields") or []
     if not isinstance(fields, list) or not all(isinstance(f, str) for f in fields):
@@ -159,11 +163,11 @@
         worker_connections=workers, client_soft=int((usable - workers) * SOFT_PART),
         client_hard=usable - workers,
         reading_bytes=int(max(READING_LEAST, (memory - FOOTPRINT) * READING_PART) * 1024 * 1024),
-        progress=progress_of(front))
+        progress=progress_of(front), console=address_of(console, "console") if console else None)
 
 
 FIXED = {  # what the module and the listener were built with, by the key that tells it
-    "name": "name", "listen": "host port",
+    "name": "name", "listen": "host port", "console": "console",
     "settings": "settings live_weights report_fields slack_ms idle_ms connect_ms max_open"}
 
 
--- a/elderstall/core.py
+++ b/elderstall/core.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict, deque
+from collections import Counter, OrderedDict, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol
@@ -73,6 +73,22 @@
     report: tuple[float, ...] = ()
 
 
+@dataclass(slots=True)
+class Figures:
+    """What operators are shown: counts since the start, and how things stand."""
+
+    classes: list[str] = field(default_factory=list)  # every class that was ever known, in order
+    served: Counter[str] = field(default_factory=Counter)  # by class, as are the next two
+    refused: Counter[str] = field(default_factory=Counter)
+    failed: Counter[str] = field(default_factory=Counter)
+    tries: int = 0  # attempts whose last byte was written
+    loads: int = 0  # files taken at SIGHUP
+    load_errors: int = 0  # files turned down
+    jobs: int = 0
+    listed: int = 0
+    avoided: int = 0
+
+
 class Client(Protocol):
     """Whoever waits for a job's answer."""
 
@@ -161,6 +177,7 @@
         self.by_cid: dict[str, Job] = {}
         self.answered: OrderedDict[str, None] = OrderedDict()  # ids, the latest last
         self.workers: dict[str, Known] = {}
+        self.counts = Figures(list(self.classes))
         self.events: deque[i.Event] = deque()
         self.feeding = False
         self.follow: Callable[[], None] = lambda: None  # asks for the list's changes
@@ -200,6 +217,23 @@
         delay = max(self.s.tick, action.delay)
         self.deadlines.after(delay, self.feed, i.TimerFired(action.token))
 
+    # ---- the figures ----
+
+    def figures(self) -> Figures:
+        """Give the figures; whom the module avoids is its own to say."""
+        here = {name for name, known in self.workers.items() if known.state is not WorkerState.GONE}
+        self.counts.jobs, self.counts.listed = len(self.jobs), len(here)
+        self.counts.avoided = len(here & self.module.avoided(self.deadlines.now()))
+        return self.counts
+
+    def wrote(self) -> None:
+        """Count an attempt whose last byte a carrier has written."""
+        self.counts.tries += 1
+
+    def turned_away(self, job_class: str) -> None:
+        """Count a job that a front has refused, as it had no room for it."""
+        self.counts.refused[job_class] += 1
+
     # ---- the list ----
 
     def listed(self, scope: ListScope, entries: tuple[i.Listed, ...] = ()) -> None:
@@ -285,6 +319,8 @@
         if job.guard is not None:
             job.guard.cancel()
         if answer is not None:
+            kinds = {Served: self.counts.served, Refused: self.counts.refused, Failed: self.counts.failed}
+            kinds[type(answer)][job.cls.name] += 1
             job.client.answered(answer)
         if job.attempt is not None:
             self.give_up(job.attempt, Ending.CANCELLED)
--- a/elderstall/net/server.py
+++ b/elderstall/net/server.py
@@ -225,6 +225,8 @@
         self.server.weight += weight - self.weight
         self.weight = weight
         if weight and not self.busy and not self.closing and self.server.weight > self.server.weight_most:
+            if self.message is not None and self.ask is not None:
+                self.server.core.turned_away(self.ask.job_class)
             self.finish(503, "memory", b"too much is being read\n", retry_after(self.server.busy_retry))
 
     def take(self, event: http.Event) -> None:
@@ -518,16 +520,20 @@
     def job(self, c: ServerConnection, message: http.Message, ask: Ask) -> None:
         """Take a client's job."""
         c.client = True
-        busy = retry_after(self.busy_retry)
         if self.refusing:
-            raise RequestError(503, "shutting down", busy)
+            raise self.turned_away(ask, "shutting down")
         if self.working > self.soft:
             # Guards the descriptors that workers' call-backs need.
-            raise RequestError(503, "too many connections", busy)
+            raise self.turned_away(ask, "too many connections")
         if self.weight > 2 * self.weight_most:
-            raise RequestError(503, "too much is kept", busy)
+            raise self.turned_away(ask, "too much is kept")
         self.submit(c, message, ask)
 
+    def turned_away(self, ask: Ask, why: str) -> RequestError:
+        """Refuse a job that there is no room for: for the figures it is one refused."""
+        self.core.turned_away(ask.job_class)
+        return RequestError(503, why, retry_after(self.busy_retry))
+
     def submit(self, c: ServerConnection, message: http.Message, ask: Ask) -> None:
         """Hand a job in for a plain answer."""
         self.enter(c, c, ask)
@@ -539,7 +545,7 @@
         except RepeatedIdError:
             raise RequestError(400, "a job with this X-Call-Id is live or was answered") from None
         except TooManyJobsError:
-            raise RequestError(503, "too many jobs", retry_after(self.busy_retry)) from None
+            raise self.turned_away(ask, "too many jobs") from None
         if c.busy:  # else it has been answered already
             c.job = number
 
--- a/elderstall/net/workers.py
+++ b/elderstall/net/workers.py
@@ -50,6 +50,9 @@
     def done(self) -> None:
         """Take its end."""
 
+    def written(self) -> None:
+        """Learn that the request's last byte was written."""
+
     def broke(self, ending: Ending) -> None:
         """Take the connection's end before that: unreachable if the request's last byte was not written."""
 
@@ -97,6 +100,8 @@
         elif not self.written:
             self.written = True
             self.transport.unregisterProducer()
+            if self.exchange is not None:
+                self.exchange.written()
 
     def stopProducing(self) -> None:  # noqa: N802, D102
         pass
@@ -285,6 +290,10 @@
             self.timer = self.workers.deadlines.after(within, silent)
         return cancel
 
+    def written(self) -> None:
+        """Count the attempt."""
+        self.workers.wrote()
+
     def over(self, outcome: Outcome | None) -> None:
         """Give the outcome."""
         if self.timer is not None:
@@ -314,6 +323,9 @@
     def __init__(self, done: Deferred[None]) -> None:
         self.fired = done
 
+    def written(self) -> None:
+        """No attempt."""
+
     def head(self, message: http.Message) -> None:
         """Any status will do."""
 
@@ -341,6 +353,7 @@
         self.cut_to, self.cut_at, self.again = idle_for, 0.0, KEEP_AGAIN[0]  # see keep
         self.uses, self.breaks = [0.0, 0.0], [0.0, 0.0]  # of connections just made and kept, decaying
         self.connections: Slots[WorkerConnection] = Slots()
+        self.wrote: Callable[[], None] = lambda: None  # told of each job whose last byte was written
         self.most, self.opening = most, 0  # those still coming up count too
         self.pools: dict[str, Pool] = {}
         self.started: dict[str, float | None] = {}
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -14,6 +14,9 @@
     w close / close listener / close silent            breaks / new ones are refused / new ones never come up
     d expect watch FROM / nothing                      the next watch that the program opens
     d send list INDEX NAME=STATE[@SINCE] ... / changes ... / beat / raw TEXT
+    o send GET PATH / POST PATH / raw TEXT             an operator's call, on a connection of its own
+    o expect STATUS [WORDS] / nothing / closed         its answer
+    o close                                            the caller goes
     log expect CODE                                    a line with this code has been logged
     term send                                          SIGTERM
     hup send [KEY=VALUE ...]                           SIGHUP, the file's keys changed first
@@ -382,6 +385,18 @@
         else:
             self.world.peers[actor].wire.lose()
 
+    # ---- operators ----
+
+    def o_send(self, actor: str, words: str) -> None:
+        how, _, rest = words.partition(" ")
+        if how != "raw" or actor not in self.world.peers:
+            wire = Wire(self.world, self.world.app.console.buildProtocol(None))
+            self.world.peers[actor] = Peer(wire, actor, responses=True)
+        data = unescaped(rest) if how == "raw" else http.request(how, rest, "n1:9600")
+        self.world.deliver(self.world.peers[actor], data)
+
+    o_expect, o_close = c_expect, c_close
+
     # ---- discovery, the log, the signal ----
 
     def d_expect(self, actor: str, words: str) -> None:
--- /dev/null
+++ b/tests/test_console.py
@@ -0,0 +1,160 @@
+"""The second address: operators' calls and the figures."""
+
+from __future__ import annotations
+
+from elderstall.config import ConfigError, config_of
+from elderstall.net.console import CALLERS, PATIENCE
+from tests.scenario import Scenario, platform
+
+
+class Calls(Scenario):
+    """One call a connection, whoever else is there."""
+
+    def test_ready_until_the_planned_end_begins(self) -> None:
+        self.play("""
+            o send GET /api/ready
+            o expect 200 ready
+            o expect closed
+            term send
+            o send GET /api/ready
+            o expect 503 not ready
+        """)
+
+    def test_what_is_no_call_is_a_no(self) -> None:
+        self.play("""
+            o send GET /api/nothing
+            o expect 404
+            o send POST /api/ready
+            o expect 405 GET only
+            o send raw nonsense\\r\\n\\r\\n
+            o2 send raw nonsense\\r\\n\\r\\n
+            o2 expect 400
+            o2 expect closed
+        """)
+
+    def test_a_call_in_pieces_is_answered_once(self) -> None:
+        self.play("""
+            o send raw GET /api/rea
+            wait 3000
+            o expect nothing
+            o send raw dy HTTP/1.1\\r\\nHost: x\\r\\n\\r\\nGET /api/ready HTTP/1.1\\r\\nHost: x\\r\\n\\r\\n
+            o expect 200 ready
+            o expect nothing
+        """)
+
+    def test_silent_and_half_callers_delay_nobody_and_end(self) -> None:
+        """Guards against callers that stay: they held every place for calls."""
+        self.begin()
+        for n in range(3 * CALLERS):
+            self.line(f"o{n}", "send", "raw GET /api/ready HT" if n % 2 else "raw ")
+        self.play("""
+            o send GET /api/ready
+            o expect 200 ready
+            o0 expect closed
+            log expect end:crowded console
+        """)
+        self.assertLessEqual(len(self.world.app.console.callers), CALLERS + 1)
+        self.line("wait", str(int(PATIENCE) + 100), "")
+        self.assertEqual(0, len(self.world.app.console.callers))
+
+    def test_a_fault_in_one_call_is_met_there_only(self) -> None:
+        self.begin()
+        self.world.app.console.figures = lambda: 1 // 0  # type: ignore
+        self.play("""
+            o send GET /api/telemetry
+            o expect 500
+            log expect bug call: ZeroDivisionError
+            o send GET /api/ready
+            o expect 200
+        """)
+
+    def test_its_descriptors_are_kept_back_and_it_may_be_absent(self) -> None:
+        alone, raw = config_of(platform(), {}), platform()
+        self.assertIsNone(alone.console)
+        self.assertEqual(("127.0.0.1", 9600), config_of(raw, {"RELAY_CONSOLE": "127.0.0.1:9600"}).console)
+        raw["console"] = "127.0.0.1:9601"
+        both = config_of(raw, {})
+        self.assertEqual(("127.0.0.1", 9601), both.console)
+        spared = [c.client_hard + c.worker_connections for c in (alone, both)]
+        self.assertEqual(CALLERS + 1, spared[0] - spared[1])
+        with self.assertRaisesRegex(ConfigError, "^console: "):
+            config_of({**raw, "console": "nowhere"}, {})
+
+
+class Telemetry(Scenario):
+    """The figures are what clients and workers saw."""
+
+    def figures(self, *lines: str) -> None:
+        self.line("o", "send", "GET /api/telemetry")
+        peer = self.world.peers["o"]
+        peer.read()
+        told = peer.messages.pop().body.decode().splitlines()
+        for line in lines:
+            self.assertIn(f"edge_relay.{line}", told)
+
+    def test_jobs_are_counted_where_they_end_and_attempts_when_written_whole(self) -> None:
+        self.play("""
+            c send job a1 deck-fetch
+            w expect POST a1
+            w send 202
+        """, workers=2)
+        self.figures("in_progress=1", "upstream_tries=1", "handled.deck-fetch.passed=0")
+        self.play("""
+            w send call done a1 x
+            c expect 200 x
+            c send job a2 deck-fetch
+            w expect POST a2
+            w send 503 X-Rejected: 1
+            w expect POST a2
+            w send 202
+            w send call done a2 x
+            c expect 200 x
+            c send job a3 deck-build
+            w expect POST a3
+            w send 500
+            c expect 502
+        """)
+        self.figures("in_progress=0", "upstream_tries=4", "handled.deck-fetch.passed=2",
+                     "handled.deck-build.bad_gateway=1", "handled.deck-build.dropped=0")
+
+    def test_what_the_front_refuses_is_a_job_refused_and_bad_input_is_none(self) -> None:
+        self.begin()
+        self.world.app.server.soft = -1
+        self.play("""
+            c send job a1 deck-fetch
+            c expect 503
+            c2 send job a2 nothing
+            c2 expect 400
+        """)
+        self.figures("handled.deck-fetch.dropped=1", "in_progress=0")
+
+    def test_an_attempt_that_never_left_whole_is_not_counted(self) -> None:
+        self.play("""
+            w close listener
+            c send job a1 deck-build budget=300
+            wait 400
+            c expect 503
+        """)
+        self.figures("upstream_tries=0", "handled.deck-build.dropped=1")
+
+    def test_workers_listed_and_avoided(self) -> None:
+        self.play("""
+            d send changes 42 w2=draining
+        """, workers=3)
+        self.figures("known_card_workers=3", "skipped_card_workers=1")
+        self.play("""
+            d send changes 43 w2=gone
+            c send job a1 deck-build
+            w expect POST a1
+            w send 500
+            c expect 502
+        """)
+        self.figures("known_card_workers=2", "skipped_card_workers=1")
+
+    def test_files_taken_and_turned_down(self) -> None:
+        self.play("""
+            hup send
+            hup send discovery=nowhere
+            hup send discovery=127.0.0.1:7
+        """)
+        self.figures("loads=2", "load_errors=1")
