Let operators ban a card worker by hand and put it back, whatever discovery lists meanwhile

Core.exclude, include and shown lay bans over the list; Workers.renew drops the connections of one put back.

--- a/elderstall/app.py
+++ b/elderstall/app.py
@@ -45,7 +45,8 @@
                                    self.core.listed, config.discovery, config.live_weights)
         self.core.follow = self.discovery.follow
         self.workers.wrote = self.core.wrote
-        self.console = Console(self.deadlines, self.log, lambda: self.ready, self.core.figures, {})
+        self.console = Console(self.deadlines, self.log, lambda: self.ready, self.core.figures,
+                               {"/api/exclude": self.core.exclude, "/api/include": self.core.include})
         self.server = listener(self.core, self.deadlines, self.log, self.workers.report_of,
                                config.client_hard, config.client_soft, config.reading_bytes)
         if isinstance(self.server, ProgressServer):
--- a/elderstall/core.py
+++ b/elderstall/core.py
@@ -8,7 +8,7 @@
 
 from collections import Counter, OrderedDict, deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Protocol
 
 from twisted.internet.defer import Deferred
@@ -112,6 +112,9 @@
     def recall(self, worker: str, cid: str) -> Deferred[None]:
         """Give up an attempt that the worker has taken; fires when the worker was told, or cannot be."""
 
+    def renew(self, worker: str) -> None:
+        """Drop the free connections to a worker: they lead to a process that is gone."""
+
 
 class TooManyJobsError(Exception):
     """The core takes no more jobs."""
@@ -176,7 +179,10 @@
         self.jobs: Slots[Job] = Slots(max_open)
         self.by_cid: dict[str, Job] = {}
         self.answered: OrderedDict[str, None] = OrderedDict()  # ids, the latest last
-        self.workers: dict[str, Known] = {}
+        self.workers: dict[str, Known] = {}  # all that were ever listed, as they count: see shown
+        self.listing: dict[str, i.Listed] = {}  # as discovery tells it
+        self.banned: dict[str, float] = {}  # by hand; since when
+        self.put_back: dict[str, tuple[float, float]] = {}  # banned when, and until when
         self.counts = Figures(list(self.classes))
         self.events: deque[i.Event] = deque()
         self.feeding = False
@@ -239,6 +245,10 @@
     def listed(self, scope: ListScope, entries: tuple[i.Listed, ...] = ()) -> None:
         """Take news of the list, for the rule on drains and for the module."""
         now = self.deadlines.now()
+        if scope is ListScope.WHOLE:
+            self.listing.clear()
+        self.listing.update((e.worker, e) for e in entries)
+        entries = tuple(self.shown(e) for e in entries)
         if scope is ListScope.WHOLE:
             named = {e.worker for e in entries}
             for name, known in self.workers.items():
@@ -251,6 +261,42 @@
             self.workers[e.worker] = Known(e.state, old.since if old is not None and stays else now)
         self.feed(i.WorkerList(scope, entries))
 
+    def shown(self, e: i.Listed) -> i.Listed:
+        """Lay what operators have said over an entry: it holds whatever discovery lists in the meantime."""
+        if e.worker in self.banned and e.state is WorkerState.UP:
+            e = replace(e, state=WorkerState.DRAINING)
+        if e.worker in self.put_back:
+            since, until = self.put_back[e.worker]
+            if (e.started or 0.0) < since:
+                # Guards rule 4: it was started anew while banned, but discovery's news of that comes late.
+                e = replace(e, started=until)
+        return e
+
+    def exclude(self, worker: str) -> bool:
+        """Send nothing new to a worker until it is put back; says no if it was never listed."""
+        if worker not in self.workers:
+            return False
+        if worker not in self.banned:
+            self.banned[worker] = self.deadlines.now()
+            self.show(worker)
+        return True
+
+    def include(self, worker: str) -> bool:
+        """End a ban: the worker is a new process, with nothing held against it."""
+        if worker not in self.workers:
+            return False
+        since = self.banned.pop(worker, None)
+        if since is not None:
+            self.put_back[worker] = since, self.deadlines.now()
+            self.carrier.renew(worker)
+            self.show(worker)
+        return True
+
+    def show(self, worker: str) -> None:
+        """Have a worker's entry seen as it counts now."""
+        if worker in self.listing:
+            self.listed(ListScope.CHANGES, (self.listing[worker],))
+
     # ---- jobs ----
 
     def take(self, ask: Ask, client: Client) -> int:
--- a/elderstall/net/workers.py
+++ b/elderstall/net/workers.py
@@ -403,6 +403,13 @@
             self.gone(name)
             self.pools[name], self.started[name] = Pool(self, name, address), started
 
+    def renew(self, worker: str) -> None:
+        """Drop the connections to a worker that was started anew; see ``core.Carrier``."""
+        pool = self.pools.get(worker)
+        if pool is not None:
+            pool.close()
+            self.pools[worker] = Pool(self, worker, pool.address)
+
     def gone(self, name: str) -> None:
         """Drop the pool of a worker that the list no longer names."""
         if (pool := self.pools.pop(name, None)) is not None:
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -158,3 +158,91 @@
             hup send discovery=127.0.0.1:7
         """)
         self.figures("loads=2", "load_errors=1")
+
+
+class Bans(Scenario):
+    """What operators say of a worker holds whatever discovery lists."""
+
+    def test_a_banned_worker_gets_nothing_new_and_its_job_finishes(self) -> None:
+        self.play("""
+            c send job a1 deck-fetch
+            w expect POST a1
+            w send 202
+            o send POST /api/exclude?id=w1
+            o expect 200 yes
+            c2 send job a2 deck-fetch
+            wait 600
+            c2 expect 503
+            w send call done a1 hello
+            c expect 200 hello
+            d send list 50 w1=up
+            d send changes 51 w1=up@5
+            c2 send job a3 deck-fetch
+            wait 600
+            c2 expect 503
+            w expect nothing
+            o send GET /api/telemetry
+            o expect 200 skipped_card_workers=1
+        """)
+
+    def test_a_worker_put_back_is_used_over_new_connections(self) -> None:
+        """Guards against kept connections, skips and proof that were those of the process before the ban."""
+        self.play("""
+            c send job a1 deck-build
+            w expect POST a1
+            w send 500
+            c expect 502
+            o send POST /api/exclude?id=w1
+            o send POST /api/exclude?id=w1
+            o expect 200 yes
+            wait 3000
+            o send POST /api/include?id=w1
+            o expect 200 yes
+            c send job a2 deck-build
+            w2 expect POST a2
+            w2 send 202
+            w2 send call done a2 hello
+            c expect 200 hello
+        """)
+        self.assertEqual(2, len(self.world.workers))
+        self.assertTrue(self.world.workers[0].wire.gone)
+
+    def test_a_worker_put_back_counts_as_just_started_until_the_list_tells(self) -> None:
+        """Guards rule 4: discovery may show the former start for seconds after a restart."""
+        self.begin()
+        module, clock = self.world.app.core.module, self.world.app.deadlines
+        self.play("""
+            wait 100
+            o send POST /api/exclude?id=w1
+            wait 2000
+            o send POST /api/include?id=w1
+        """)
+        back = module.workers["w1"].started
+        self.assertAlmostEqual(clock.now(), back or 0, delta=1)
+        self.play("""
+            d send changes 50 w1=up@7
+        """)
+        self.assertEqual(back, module.workers["w1"].started)
+        true = round(clock.now() - 1000)
+        self.play(f"""
+            d send changes 51 w1=up@{true}
+        """)
+        self.assertEqual(true, module.workers["w1"].started)
+
+    def test_an_id_that_was_never_listed_is_a_no_and_one_that_is_gone_is_none(self) -> None:
+        self.play("""
+            o send POST /api/exclude?id=w7
+            o expect 404
+            o send POST /api/include?id=w7
+            o expect 404
+            o send POST /api/exclude
+            o expect 400
+            d send changes 50 w2=gone
+            o send POST /api/exclude?id=w2
+            o expect 200
+            d send changes 51 w2=up
+            o send POST /api/include?id=w1
+            o expect 200
+            o send GET /api/telemetry
+            o expect 200 skipped_card_workers=1
+        """, workers=2)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -34,6 +34,9 @@
         self.recalls.append(Deferred())
         return self.recalls[-1]
 
+    def renew(self, worker: str) -> None:
+        pass
+
 
 class Client:
     """Keeps its answers."""
