Take new settings at SIGHUP: classes, attempts and all, checked whole and swapped whole

Lines at fault: FIXED in config.py kept settings for a restart; `or 1` in settings.py took 0 attempts for one; told() and number() filled what a file lacked from the environment and defaults (reloaded, lacking); json.loads takes NaN (no_number). Module: Dispatcher.adopt and retuned; core: retune; front: Server.retuned.

--- a/elderstall/app.py
+++ b/elderstall/app.py
@@ -100,6 +100,7 @@
         """
         try:
             told = self.read()
+            new = reloaded(self.config, told)
         except ConfigError as error:
             self.core.counts.load_errors += 1
             self.log.write("reload", f"nothing changed: {error}")
@@ -107,9 +108,14 @@
         self.core.counts.loads += 1
         if keys := fixed_keys(self.config, told):
             self.log.write("reload", f"only a restart changes {', '.join(keys)}")
-        moved = told.discovery != self.config.discovery
-        self.config = reloaded(self.config, told)
+        old, self.config = self.config, new
+        moved = told.discovery != old.discovery
         self.limit()
+        if (new.settings, new.slack_ms, new.max_open) != (old.settings, old.slack_ms, old.max_open):
+            self.core.retune(new.settings, new.slack_ms, new.max_open)
+            self.server.retuned()
+            self.log.write("reload", f"classes are {', '.join(self.core.classes)}; "
+                                     f"{new.settings.max_attempts} attempts")
         self.log.write("reload", f"discovery is at {told.discovery}" + ("" if moved else ", as before"))
         if moved:
             self.discovery.move(told.discovery)
@@ -117,6 +123,9 @@
     def limit(self) -> None:
         """Hand the limits out."""
         self.workers.most = self.config.worker_connections
+        self.workers.report_fields = self.config.report_fields
+        self.workers.idle_for, self.workers.connect_for = self.config.idle_ms, self.config.connect_ms
+        self.discovery.live = self.config.live_weights
         self.server.most, self.server.soft = self.config.client_hard, self.config.client_soft
         self.server.weight_most = self.config.reading_bytes
         if isinstance(self.server, ProgressServer):
--- a/elderstall/choice.py
+++ b/elderstall/choice.py
@@ -216,49 +216,75 @@
     """One dispatcher: ``handle`` takes an event and returns the actions it calls for."""
 
     def __init__(self, settings: i.Settings, seed: int) -> None:
-        self.s = settings
         self.rng = random.Random(seed)
         self.now, self.actions = 0.0, list[i.Action]()
-        self.classes = {c.name: c for c in settings.classes}
-        shares = (1.0, settings.over_share_worth) if settings.tenants else (1.0,)
-        self.edges = tier_edges(c.worth * s for c in settings.classes for s in shares)
-        self.tiers = len(self.edges)
         self.workers: dict[str, Worker] = {}
-        self.pools: list[list[Worker]] = [[] for _ in self.edges]
         self.cut, self.common = list[Worker](), list[Worker]()  # shared out, in order; serving every tier
-        self.many = settings.dispatchers * WHOLE_UNDER > SLOTS_GUESS  # so that each sees little of a worker
-        self.look = PUMP_MANY if self.many else PUMP_EVERY
-        # Pools start alike; where many, who are long in solving, work over shares alone gets little.
-        used = {self.tier_of(c.worth) for c in settings.classes if self.many}
-        self.policy = Policy((0,) * len(pairs(self.tiers)),
-                             tuple(1 if used and t not in used else 1000 for t in range(self.tiers)))
-        self.shares = flows(self.policy, self.tiers)
         self.jobs: dict[int, Job] = {}
         self.attempts: dict[tuple[int, int], Attempt] = {}
-        self.held: list[list[Job]] = [[] for _ in range(self.tiers + 1)]  # a tier each, then the late
         self.waiting: dict[tuple[int, int], Attempt] = {}  # sent, not known to have started; oldest first
         self.running, self.pumping = 0, False  # slots of our started attempts; whether a look is due
         self.part, self.pace = 0.0, 1.0  # our slots, time of a unit
         self.keepers: dict[tuple[int, str], list[Worker]] = {}
         self.turn, self.claim = 0.0, 1 / settings.dispatchers  # virtual ms of rotation; our part of the fleet
-        self.prompt = PROMPT_SLACK + 2 * settings.tick
         # Least delay from send to start by zone, as a first job may find a queue (ied79d9); a first guess.
         self.trips: defaultdict[str | None, float] = defaultdict(lambda: settings.connect_timeout / 2)
         self.kinds: defaultdict[str, list[float]] = defaultdict(lambda: [0.0, 0.0, 1.0, SLOTS_GUESS])
-        self.mean = {c.name: max(1.0, c.aim / 2) for c in settings.classes}  # standard work; a first guess
-        self.typical = sum(self.mean.values()) / len(self.mean)
-        self.ended = dict.fromkeys(self.classes, 0)
-        self.quota = {t.name: t.quota_per_s / 1000 / settings.dispatchers for t in settings.tenants}
-        self.tokens = dict.fromkeys(self.quota, (math.inf, 0.0))  # full buckets
-        # Jobs, slot-work, work and aim by tier: of this interval, and smoothed.
-        self.rates, self.load_seen = ([[0.0] * 4 for _ in self.edges] for _ in range(2))
+        self.mean, self.ended = dict[str, float](), dict[str, int]()  # by class: standard work; jobs seen
+        self.tokens: dict[str, tuple[float, float]] = {}
         self.intervals, self.ask_delay, self.ask_at = 0, 0.0, math.inf
         self.largest, self.held_mean = defaultdict[str, float](float), 0.0  # by the list's live weights
         self.handlers: dict[type, Callable[[Any], None]] = {
             i.Begin: self.begin, i.WorkerList: self.listed, i.JobArrived: self.arrived,
             i.AttemptNoted: self.noted, i.AttemptEnded: self.attempt_ended, i.JobLeft: self.left,
-            i.TimerFired: self.timer, i.AnswerBegan: self.left,
+            i.TimerFired: self.timer, i.AnswerBegan: self.left, i.Retuned: self.retuned,
         }
+        self.tiers = 0
+        self.adopt(settings)
+
+    def adopt(self, settings: i.Settings) -> None:
+        """Take settings: what hangs on them, and first guesses of what is yet to be learned."""
+        self.s = settings
+        self.classes = {c.name: c for c in settings.classes}
+        shares = (1.0, settings.over_share_worth) if settings.tenants else (1.0,)
+        self.edges = tier_edges(c.worth * s for c in settings.classes for s in shares)
+        tiers, self.tiers = self.tiers, len(self.edges)
+        self.many = settings.dispatchers * WHOLE_UNDER > SLOTS_GUESS  # so that each sees little of a worker
+        self.look = PUMP_MANY if self.many else PUMP_EVERY
+        self.prompt = PROMPT_SLACK + 2 * settings.tick
+        self.mean = {c.name: max(1.0, c.aim / 2) for c in settings.classes} | self.mean  # a first guess
+        self.ended = dict.fromkeys(self.classes, 0) | self.ended
+        self.typical = self.usual_work()
+        self.quota = {t.name: t.quota_per_s / 1000 / settings.dispatchers for t in settings.tenants}
+        self.tokens = dict.fromkeys(self.quota, (math.inf, 0.0)) | self.tokens  # full buckets
+        if tiers == self.tiers:
+            return
+        self.pools: list[list[Worker]] = [[] for _ in self.edges]
+        # Pools start alike; where many, who are long in solving, work over shares alone gets little.
+        used = {self.tier_of(c.worth) for c in settings.classes if self.many}
+        self.policy = Policy((0,) * len(pairs(self.tiers)),
+                             tuple(1 if used and t not in used else 1000 for t in range(self.tiers)))
+        self.shares = flows(self.policy, self.tiers)
+        self.held: list[list[Job]] = [[] for _ in range(self.tiers + 1)]  # a tier each, then the late
+        # Jobs, slot-work, work and aim by tier: of this interval, and smoothed.
+        self.rates, self.load_seen = ([[0.0] * 4 for _ in self.edges] for _ in range(2))
+        self.intervals = 0
+
+    def retuned(self, e: i.Retuned) -> None:
+        """Take new settings and keep what was learned; a job keeps its class, and its place in the order."""
+        held = [job for jobs in self.held for job in jobs if job.held]
+        self.adopt(e.settings)
+        self.held = [[] for _ in range(self.tiers + 1)]
+        for job in self.jobs.values():
+            job.tier = self.tier_of(job.worth)
+        self.cut_pools()
+        for job in held:
+            (self.finish if job.sent >= self.s.max_attempts else self.hold)(job)
+        self.pump()
+
+    def usual_work(self) -> float:
+        """Give the mean of the classes' mean work."""
+        return sum(self.mean[name] for name in self.classes) / len(self.classes)
 
     def handle(self, now: float, event: i.Event) -> i.Actions:
         """Take one event and return what to do, in order."""
@@ -412,7 +438,7 @@
         for seen, new in zip(self.load_seen, self.rates, strict=True):
             fade = 1.0 if self.intervals == 1 else SMOOTH
             seen[:], new[:] = [s + (n - s) * fade for s, n in zip(seen, new, strict=True)], [0.0] * 4
-        self.typical = sum(self.mean.values()) / len(self.mean)
+        self.typical = self.usual_work()
         fleet = self.cut + self.common
         power = sum(w.power for w in fleet) or 1.0
         work = CLAIM * sum(x[1] for x in self.load_seen) / INTERVAL
@@ -576,7 +602,7 @@
         worth = cls.worth * (1.0 if self.within_share(e.tenant) else self.s.over_share_worth)
         tier = self.tier_of(worth)
         work = e.work_hint if e.work_hint else self.mean[cls.name]
-        job = Job(e.job, cls, tier, e.slots, work, e.key, self.now, self.now + e.time_left)
+        job = Job(e.job, cls, worth, tier, e.slots, work, e.key, self.now, self.now + e.time_left)
         self.jobs[e.job] = job
         for n, x in enumerate((1.0, work * e.slots, work, min(cls.aim + cls.stretch * work, cls.deadline))):
             self.rates[tier][n] += x
--- a/elderstall/config.py
+++ b/elderstall/config.py
@@ -5,7 +5,7 @@
 import json
 import tomllib
 from collections.abc import Mapping
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
 
@@ -62,6 +62,7 @@
     reading_bytes: int
     progress: Progress = Progress()
     console: tuple[str, int] | None = None  # the second address to listen on
+    raw: Any = field(default=None, compare=False, repr=False)  # the file, as it was read
 
 
 def address_of(text: Any, key: str) -> tuple[str, int]:
@@ -163,12 +164,11 @@
         worker_connections=workers, client_soft=int((usable - workers) * SOFT_PART),
         client_hard=usable - workers,
         reading_bytes=int(max(READING_LEAST, (memory - FOOTPRINT) * READING_PART) * 1024 * 1024),
-        progress=progress_of(front), console=address_of(console, "console") if console else None)
+        progress=progress_of(front), console=address_of(console, "console") if console else None,
+        raw=raw)
 
 
-FIXED = {  # what the module and the listener were built with, by the key that tells it
-    "name": "name", "listen": "host port", "console": "console",
-    "settings": "settings live_weights report_fields slack_ms idle_ms connect_ms max_open"}
+FIXED = {"name": "name", "listen": "host port", "console": "console"}  # what the sockets were made with
 
 
 def fixed_keys(old: Config, new: Config) -> list[str]:
@@ -178,12 +178,40 @@
     return keys + ["front.progress.enabled"] * (old.progress.enabled is not new.progress.enabled)
 
 
+def lacking(old: Any, new: Any, key: str = "") -> str | None:
+    """Name a key that a file lacks and the one in use has; of lists, what every old entry has."""
+    if isinstance(old, dict) and isinstance(new, dict):
+        for name, value in old.items():
+            if name not in new:
+                return f"{key}{name}"
+            if name != "known" and (found := lacking(value, new[name], f"{key}{name}.")) is not None:
+                return found
+    elif isinstance(old, list) and isinstance(new, list):
+        entries = [e for e in old if isinstance(e, dict)]
+        shared = {name: value for e in entries[:1] for name, value in e.items()
+                  if all(name in other for other in entries)}
+        for n, entry in enumerate(new if entries else ()):
+            if (found := lacking(shared, entry, f"{key[:-1]}[{n}].")) is not None:
+                return found
+    elif isinstance(old, dict | list):
+        return key[:-1]
+    return None
+
+
 def reloaded(old: Config, new: Config) -> Config:
-    """Give the configuration of a program that runs on: discovery, limits and the front's figures are new."""
-    return replace(
-        old, discovery=new.discovery, worker_connections=new.worker_connections, client_soft=new.client_soft,
-        client_hard=new.client_hard, reading_bytes=new.reading_bytes,
-        progress=replace(new.progress, enabled=old.progress.enabled))
+    """Give the configuration of a program that runs on: all is new but what its sockets were made with.
+
+    Guards against a file cut short, or with a key left out: defaults and the environment would fill the gap.
+    """
+    if (key := lacking(old.raw, new.raw)) is not None:
+        raise ConfigError(f"{key}: is missing, the file in use has it")
+    return replace(new, name=old.name, host=old.host, port=old.port, console=old.console, seed=old.seed,
+                   progress=replace(new.progress, enabled=old.progress.enabled))
+
+
+def no_number(text: str) -> float:
+    """Turn down NaN and Infinity, which JSON does not know and Python's reader takes."""
+    raise ValueError(f"{text} is no JSON")
 
 
 def load(path: str | None, env: Mapping[str, str], front: str | None = None) -> Config:
@@ -192,7 +220,7 @@
     if not path:
         raise ConfigError("RELAY_CONFIG: is not set, and no --config was given")
     try:
-        raw = json.loads(Path(path).read_text(encoding="utf-8"))
+        raw = json.loads(Path(path).read_text(encoding="utf-8"), parse_constant=no_number)
     except (OSError, ValueError) as error:
         raise ConfigError(f"RELAY_CONFIG: {path}: {error}") from None
     return config_of(raw, env, front or env.get("ELDERSTALL_FRONT"))
--- a/elderstall/core.py
+++ b/elderstall/core.py
@@ -19,7 +19,7 @@
 from elderstall.deadlines import Deadline, Deadlines
 from elderstall.interface import Effect, Ending, ListScope, Scope, WorkerState
 from elderstall.log import Log
-from elderstall.slots import Slots
+from elderstall.slots import SLOT_MASK, Slots
 
 REMEMBERED = 4_096  # ids of answered jobs kept: minutes of them at the rates known
 DRAIN_GRACE = 1_500.0  # ms after which the core itself sends nothing to a worker told draining or gone
@@ -218,6 +218,14 @@
         self.feed(i.Begin())
         self.listed(ListScope.WHOLE, known)
 
+    def retune(self, settings: i.Settings, slack: float, max_open: int) -> None:
+        """Take new settings; jobs under way keep their class."""
+        self.s, self.slack, self.jobs.most = settings, slack, min(max_open, SLOT_MASK)
+        self.classes = {c.name: c for c in settings.classes}
+        self.tenants = {t.name for t in settings.tenants}
+        self.counts.classes += [name for name in self.classes if name not in self.counts.classes]
+        self.feed(i.Retuned(settings))
+
     def set_timer(self, action: i.SetTimer) -> None:
         """Carry out SetTimer."""
         delay = max(self.s.tick, action.delay)
--- a/elderstall/interface.py
+++ b/elderstall/interface.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from enum import Enum
 
@@ -123,7 +124,7 @@
         for c in self.classes:
             require(isinstance(c.effect, Effect), "effect", f"unknown: {c.effect!r}")
             require(isinstance(c.scope, Scope), "scope", f"unknown: {c.scope!r}")
-            require(c.deadline > 0, "deadline", "must be above zero")
+            require(0 < c.deadline < math.inf, "deadline", "must be above zero")
             for name in ("worth", "aim", "memory_span", "stretch", "late_share"):
                 require(getattr(c, name) >= 0, name, "must not be negative")
         for t in self.tenants:
@@ -162,6 +163,13 @@
     """The dispatcher starts; sent once, first."""
 
 
+@dataclass(slots=True, frozen=True)
+class Retuned:
+    """The settings are others now; jobs that have arrived keep the class they came with."""
+
+    settings: Settings
+
+
 @dataclass(slots=True, frozen=True)
 class WorkerList:
     """News from the list of workers."""
@@ -229,7 +237,8 @@
     token: int
 
 
-Event = Begin | WorkerList | JobArrived | AttemptNoted | AnswerBegan | AttemptEnded | JobLeft | TimerFired
+Event = (Begin | Retuned | WorkerList | JobArrived | AttemptNoted | AnswerBegan | AttemptEnded | JobLeft
+         | TimerFired)
 
 
 # ---- actions ----
--- a/elderstall/net/server.py
+++ b/elderstall/net/server.py
@@ -517,6 +517,15 @@
         else:
             c.reply(503 if self.draining else 200, b"draining\n" if self.draining else b"up\n")
 
+    def retuned(self) -> None:
+        """Check the heads anew that were checked under other settings, and whose bodies still come."""
+        for c in self.connections:
+            if c.ask is not None and c.message is not None and not c.closing:
+                try:
+                    c.ask = self.look(c.message)
+                except RequestError as denied:
+                    c.finish(denied.status, "bad-request", f"{denied}\n".encode(), denied.headers)
+
     def job(self, c: ServerConnection, message: http.Message, ask: Ask) -> None:
         """Take a client's job."""
         c.client = True
--- a/elderstall/records.py
+++ b/elderstall/records.py
@@ -70,6 +70,7 @@
 
     id: int
     cls: i.JobClass
+    worth: float
     tier: int
     slots: int
     work: float
--- a/elderstall/settings.py
+++ b/elderstall/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 
 from elderstall import interface as i
@@ -9,6 +10,13 @@
 Fields = dict[str, Any]
 
 
+def positive(value: Any, name: str) -> Any:
+    """Check a number that must be above zero."""
+    if isinstance(value, bool) or not isinstance(value, int | float) or not 0 < value < math.inf:
+        raise ValueError(f"{name}: {value!r} is no positive number")
+    return value
+
+
 def settings_of(conf: Fields) -> i.Settings:
     """Build the settings from the wire's; keys that are not known here are ignored."""
     rules, limits = conf.get("rules") or {}, conf.get("limits") or {}
@@ -20,7 +28,7 @@
         kind = bound[n] if n < len(bound) else -1
         stretch = stretches[n] if n < len(stretches) else c.get("aim_stretch") or 0.0
         classes.append(i.JobClass(
-            name=c["name"], worth=c["points"], aim=c["aim"], deadline=c["deadline"],
+            name=c["name"], worth=c["points"], aim=c["aim"], deadline=positive(c["deadline"], "deadline"),
             effect=i.Effect(c["effect"]), scope=i.Scope(c.get("key_scope") or "all"),
             memory_span=c.get("memory_span") or 0.0, stretch=stretch, late_share=c.get("late_share") or 0.0,
             kind=kinds[kind] if 0 <= kind < len(kinds) else None, streamed=bool(c.get("streamed"))))
@@ -33,7 +41,7 @@
         must_follow=conf.get("discovery") == "subscribe", ask_within=rules.get("ask_within") or 10_000.0,
         cold_share=rules.get("cold_share") or 1.0, cold_for=rules.get("cold") or 0.0,
         push_multiple=rules.get("fall_multiple") or 3.0, push_window=rules.get("overload_for") or 2_000.0,
-        max_attempts=limits.get("max_attempts") or 1,
+        max_attempts=positive(limits.get("max_attempts", 1), "max_attempts"),
         cpu_us_per_s=limits.get("cpu_us_per_s") or 0.0,
         cpu_us_per_job=limits.get("cpu_us_per_request") or 0.0,
         connect_timeout=limits.get("connect_timeout") or 0.0, tells_start=bool(extras.get("tells_start")),
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -444,7 +444,7 @@
         self.world.app.sigterm()
 
     def hup_send(self, actor: str, words: str) -> None:
-        self.world.raw |= dict(word.split("=", 1) for word in words.split())
+        self.world.raw = {**self.world.raw, **dict(word.split("=", 1) for word in words.split())}
         self.world.app.sighup()
 
     def term_expect(self, actor: str, words: str) -> None:
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,195 @@
+"""New settings at SIGHUP: what a running program takes on, and what it turns down."""
+
+from __future__ import annotations
+
+import copy
+import json
+import tempfile
+import unittest
+from typing import Any
+
+from elderstall import interface as i
+from elderstall.choice import Dispatcher
+from elderstall.config import ConfigError, config_of, load
+from tests.driver import Driver
+from tests.scenario import CLASSES, Scenario, platform
+
+LATE = {"name": "deck-late", "points": 3, "aim": 300, "deadline": 4000, "effect": "unsafe"}
+
+
+class Retunes(Scenario):
+    """Classes come and go while jobs are under way."""
+
+    def retune(self, classes: list[dict[str, Any]], **limits: Any) -> None:
+        raw = copy.deepcopy(self.world.raw)
+        raw["settings"]["classes"] = classes
+        raw["settings"]["limits"].update(limits)
+        self.world.raw = raw
+        self.line("hup", "send", "")
+
+    def test_a_new_class_is_taken_and_one_that_is_gone_is_not(self) -> None:
+        self.play("""
+            c send job a1 deck-late
+            c expect 400
+            c2 send job a2 deck-fetch
+            w expect POST a2
+            w send 202
+        """)
+        self.retune([CLASSES[1], LATE])
+        self.play("""
+            log expect reload classes are deck-build, deck-late; 5 attempts
+            w send call done a2 hello
+            c2 expect 200 hello
+            c2 send job a3 deck-fetch
+            c2 expect 400
+            c3 send job a4 deck-late
+            w expect POST a4
+            w send 500
+            c3 expect 502
+            o send GET /api/telemetry
+            o expect 200 handled.deck-fetch.passed=1
+            o send GET /api/telemetry
+            o expect 200 handled.deck-late.bad_gateway=1
+        """)
+
+    def test_jobs_under_way_keep_their_class(self) -> None:
+        """Guards jobs taken as safe, and those taken as not to be repeated, against each other's rule."""
+        self.play("""
+            c send job a1 deck-fetch
+            w expect POST a1
+            w send 202
+            c2 send job a2 deck-build
+            w2 expect POST a2
+            w2 send 202
+        """, workers=3)
+        stricter, milder = ({**c, "effect": e} for c, e in zip(CLASSES, ("unsafe", "safe"), strict=True))
+        self.retune([stricter, milder])
+        self.play("""
+            w2 send call lost a2
+            c2 expect 502
+            w send call lost a1
+            w expect POST a1
+            w send 202
+            w send call done a1 hello
+            c expect 200 hello
+            c3 send job a3 deck-fetch
+            w expect POST a3
+            w send 500
+            c3 expect 502
+        """)
+
+    def test_fewer_attempts_hold_for_jobs_under_way_too(self) -> None:
+        self.play("""
+            c send job a1 deck-fetch
+            w expect POST a1
+            w send 503 X-Rejected: 1
+            w expect POST a1
+            w send 202
+        """, workers=3)
+        self.retune(CLASSES, max_attempts=2)
+        self.play("""
+            w send call returned a1
+            c expect 503
+            w expect nothing
+        """)
+
+    def test_a_head_read_under_other_settings_is_checked_again(self) -> None:
+        """Guards against a class that is gone when the body comes: it was a KeyError, and a 500."""
+        head = ("POST /deck-fetch HTTP/1.1\\r\\nHost: x\\r\\nX-Call-Id: a1\\r\\nX-Call-Class: deck-fetch"
+                "\\r\\nX-Caller: norte\\r\\nX-Budget-Ms: 5000\\r\\nContent-Length: 4\\r\\n\\r\\n")
+        self.play(f"""
+            c send raw {head}
+        """)
+        self.retune([CLASSES[1]])
+        self.play("""
+            c expect 400
+        """)
+
+    def test_what_a_broken_file_says_is_not_taken_in_part(self) -> None:
+        self.begin()
+        good = copy.deepcopy(self.world.raw)
+        for key, value in (("deadline", 0), ("deadline", -5), ("deadline", "5000"), ("deadline", True),
+                           ("deadline", float("inf")), ("aim", None)):
+            classes: list[dict[str, Any]] = [LATE, {**CLASSES[0], key: value}]
+            self.world.raw = copy.deepcopy(good)
+            self.world.raw["discovery"] = "127.0.0.1:7"
+            with self.subTest(key=key, value=value):
+                self.retune(classes)
+                self.assertEqual({"deck-fetch", "deck-build"}, set(self.world.app.core.classes))
+        for attempts in (0, -1, "3", None, 1e999):
+            self.world.raw = copy.deepcopy(good)
+            with self.subTest(attempts=attempts):
+                self.retune([LATE], max_attempts=attempts)
+                self.assertEqual({"deck-fetch", "deck-build"}, set(self.world.app.core.classes))
+        self.assertEqual((0, 11), (self.world.app.core.counts.loads, self.world.app.core.counts.load_errors))
+        self.line("d", "expect", "watch 41")  # the one of the start: none at the faulty files' address
+
+    def test_a_file_that_lacks_a_key_of_the_one_in_use_is_turned_down_by_its_name(self) -> None:
+        """Guards against defaults and the environment: they filled the gaps of a file cut short."""
+        for path in ("discovery", "seed", "known", "limits", "settings.rules", "settings.limits.max_attempts",
+                     "settings.rules.cold", "settings.classes.1.points", "settings.projects.0.quota_per_s"):
+            self.begin()
+            raw = copy.deepcopy(self.world.raw)
+            *way, last = path.split(".")
+            at: Any = raw
+            for word in way:
+                at = at[int(word)] if word.isdigit() else at[word]
+            del at[last]
+            self.world.raw = raw
+            with self.subTest(path=path):
+                self.line("hup", "send", "")
+                self.assertEqual(1, self.world.app.core.counts.load_errors)
+                self.assertTrue([x for x in self.world.lines if x.startswith("reload nothing changed: ")
+                                 and last in x], self.world.lines)
+
+    def test_a_file_with_what_json_does_not_know_is_no_file(self) -> None:
+        with tempfile.NamedTemporaryFile("w") as file:
+            raw = platform()
+            raw["settings"]["classes"] = [{**CLASSES[0], "deadline": float("nan")}]
+            json.dump(raw, file)
+            file.flush()
+            with self.assertRaisesRegex(ConfigError, "RELAY_CONFIG: .*NaN"):
+                load(file.name, {})
+
+    def test_no_attempts_are_no_default(self) -> None:
+        with self.assertRaisesRegex(ConfigError, "max_attempts"):
+            config_of(platform(limits={"max_attempts": 0}), {})
+
+
+class Module(unittest.TestCase):
+    """What the module keeps, and what it works out anew."""
+
+    def settings(self, *worths: float, attempts: int = 3) -> i.Settings:
+        classes = (i.JobClass(f"c{n}", worth=w, aim=100.0, deadline=5_000.0) for n, w in enumerate(worths))
+        return i.Settings(tuple(classes), max_attempts=attempts)
+
+    def test_what_was_learned_is_kept_and_held_jobs_go_on(self) -> None:
+        d = Driver(self.settings(1.0, 10.0), 1)
+        d.listed(tuple(i.Listed(f"w{n}", "k") for n in range(4)))
+        module = d.dispatcher
+        for n in range(12):
+            d.arrive(n, d.s.classes[n % 2])
+        held = sum(len(jobs) for jobs in module.held)
+        self.assertGreater(held, 0)
+        module.workers["w0"].work = module.workers["w0"].time = 77.0
+        d.tell(i.Retuned(self.settings(1.0, 10.0, 100.0, 5.0)))
+        self.assertEqual(3, module.tiers)
+        self.assertEqual(77.0, module.workers["w0"].work)
+        self.assertEqual(held, sum(len(jobs) for jobs in module.held))
+        self.assertEqual({"w0", "w1", "w2", "w3"}, {w.name for pool in module.pools for w in pool})
+        d.tell(i.Retuned(self.settings(2.0)))
+        self.assertEqual(1, module.tiers)
+        while d.outs():
+            d.end(d.outs()[0], i.Ending.SERVED)
+        self.assertEqual(0, sum(len([job for job in jobs if job.held]) for jobs in module.held))
+
+    def test_a_held_job_whose_attempts_are_spent_is_answered(self) -> None:
+        """Guards against one attempt too many: a held job is sent without another look at the limit."""
+        module = Dispatcher(self.settings(1.0), 1)
+        module.handle(0.0, i.Begin())
+        module.handle(0.0, i.WorkerList(i.ListScope.WHOLE, (i.Listed("w0"),)))
+        module.handle(0.0, i.JobArrived(1, "c0", 5_000.0))
+        module.handle(1.0, i.AttemptEnded(1, 0, "w0", i.Ending.FULL))
+        self.assertTrue(any(module.held))
+        actions = module.handle(2.0, i.Retuned(self.settings(1.0, attempts=1)))
+        self.assertEqual([1], [a.job for a in actions if isinstance(a, i.Refuse)])
