Hand the listener, connections, bans and ids to a new process while the old one serves

Cause: Handover.listen was called before the old one had let go of the path, so that one's end removed the new socket; and a process that ends heard of its link's end and took the path again. Found with three processes started by hand.

Open: the new process starts with nothing learned.

--- a/elderstall/__main__.py
+++ b/elderstall/__main__.py
@@ -49,7 +49,7 @@
     globalLogBeginner.beginLoggingTo([observer], discardBuffer=True, redirectStandardIO=False)
     app.start()
     loop.run(installSignalHandlers=False)
-    return 0
+    return 1 if app.failed else 0
 
 
 if __name__ == "__main__":
--- a/elderstall/app.py
+++ b/elderstall/app.py
@@ -2,25 +2,32 @@
 
 from __future__ import annotations
 
+import os
+import socket
 from collections.abc import Callable
 from typing import Any, cast
 
 from twisted.internet.defer import Deferred
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.protocol import Factory
+from twisted.python.failure import Failure
 
 from elderstall.config import Config, ConfigError, address_of, fixed_keys, reloaded
 from elderstall.core import Core
 from elderstall.deadlines import Deadlines
 from elderstall.log import Log
 from elderstall.net.console import Console
-from elderstall.net.discovery import Discovery, WatchConnection
+from elderstall.net.discovery import Discovery, WatchConnection, told_as
+from elderstall.net.handover import Handover
 from elderstall.net.server import Server
 from elderstall.net.sse import ProgressServer, StreamWorkers
 from elderstall.net.workers import WorkerConnection, Workers
 
 SERVE_FOR = 700.0  # ms after SIGTERM for which new jobs are still taken
 LOOK_EVERY = 50.0  # ms between looks whether all is answered
+LONGEST_LEAST = 3_000.0  # ms after SIGTERM, and SERVE_FOR more, before which the platform does not kill
+TELL_EVERY = 250.0  # ms between words of how many connections are left, in an upgrade
+BAN_TRIES = 10  # looks for what a process that runs hands over, before a call about a worker is answered
 DISCOVERY_CONNECT = 2.0  # s
 BACKLOG = 1024
 CONSOLE_BACKLOG = 64  # operators' calls that wait while the program is in another turn
@@ -45,14 +52,24 @@
                                    self.core.listed, config.discovery, config.live_weights)
         self.core.follow = self.discovery.follow
         self.workers.wrote = self.core.wrote
-        self.console = Console(self.deadlines, self.log, lambda: self.ready, self.core.figures,
-                               {"/api/exclude": self.core.exclude, "/api/include": self.core.include})
+        self.console = Console(self.deadlines, self.log, lambda: self.ready, self.core.figures, {
+            "/api/exclude": lambda worker: self.ban("exclude", worker),
+            "/api/include": lambda worker: self.ban("include", worker)})
         self.server = listener(self.core, self.deadlines, self.log, self.workers.report_of,
                                config.client_hard, config.client_soft, config.reading_bytes)
         if isinstance(self.server, ProgressServer):
             self.server.setup = config.progress
+        self.handover: Handover | None = None
+        if config.folder is not None:
+            self.handover = h = Handover(self.deadlines, self.log, reactor, config.folder,
+                                         f"elderstall-{config.host}-{config.port}")
+            h.state, h.told, h.on_links, h.on_room = self.state, self.told, self.linked, self.server.pass_all
+            self.core.on_taken = lambda cid: h.announce("id", id=cid)
+            self.server.may_pass, self.server.hand = lambda: h.room, self.hand
+            self.server.ask_others = lambda call: h.tell("callback", call=call) if h.linked else None
         self.port: Any = None
         self.stopping = False
+        self.failed = False  # the program could not begin
 
     @property
     def ready(self) -> bool:
@@ -72,18 +89,147 @@
         return cast("Deferred[WatchConnection]", endpoint.connect(factory))
 
     def start(self) -> None:
-        """Take the known list, then listen: from the first ``/up`` on clients may come."""
+        """Listen for operators, and begin: with what a process that runs hands over, if there is one."""
         if self.config.console is not None:
             host, port = self.config.console
             at = self.reactor.listenTCP(port, self.console, backlog=CONSOLE_BACKLOG, interface=host).getHost()
             self.log.write("console", f"{at.host}:{at.port}")
-        _, entries = self.discovery.take(self.config.known)
+        if self.handover is None:
+            self.begin(None)
+        else:
+            self.handover.find().addCallback(self.begin).addErrback(self.cannot)
+
+    def cannot(self, failure: Failure) -> None:
+        """End, as the program cannot begin."""
+        self.log.write("exit", f"cannot begin: {failure.value}")
+        self.failed = True
+        self.reactor.callLater(0, self.reactor.stop)
+
+    def begin(self, found: tuple[dict[str, Any], int] | None) -> None:
+        """Take the known list, then listen: from the first ``/up`` on clients may come."""
+        state, fd = found or ({}, -1)
+        known = state.get("known", self.config.known)
+        if state:
+            self.inherit(state)
+        _, entries = self.discovery.take(known)
+        if state.get("discovery", self.config.discovery) != self.config.discovery:
+            self.discovery.index = 0  # another one counts its versions afresh
         self.core.start(entries)
-        self.port = self.reactor.listenTCP(
-            self.config.port, self.server, backlog=BACKLOG, interface=self.config.host)
-        self.server.accept = lambda on: self.port.startReading() if on else self.port.stopReading()
+        if found is None:
+            self.port = self.reactor.listenTCP(
+                self.config.port, self.server, backlog=BACKLOG, interface=self.config.host)
+            self.port._shouldShutdown = False  # it may be shared with a next process, which goes on with it
+        else:
+            self.port = self.reactor.adoptStreamPort(fd, socket.AF_INET, self.server)
+            os.close(fd)
+        self.server.accept = self.accept
         host = self.port.getHost()
         self.log.write("start", f"{self.config.name} listens on {host.host}:{host.port}")
+        if self.handover is None:
+            return
+        if found is None or self.handover.older is None:
+            self.handover.listen()
+        else:
+            self.handover.older.send("serving")
+            self.linked()
+
+    def accept(self, on: bool) -> None:
+        """Read the listening port or not; while another process serves, it does."""
+        serves = self.handover is None or self.handover.successor is None
+        (self.port.startReading if on and serves else self.port.stopReading)()
+
+    # ---- an upgrade: see net/handover.py ----
+
+    def state(self) -> tuple[dict[str, Any], int]:
+        """Give a new process what it needs, and the listener."""
+        core = self.core
+        return {
+            "known": told_as(self.discovery.index, core.listing.values(), self.discovery.addresses),
+            "discovery": self.config.discovery, "banned": core.banned, "back": core.put_back,
+            "ids": [*core.elsewhere, *core.answered, *core.by_cid], "begun": self.server.streamed(),
+            "held": len(self.server.connections)}, os.dup(self.port.fileno())
+
+    def inherit(self, state: dict[str, Any]) -> None:
+        """Take what the process that runs hands over."""
+        self.core.banned.update(state["banned"])
+        self.core.put_back.update((name, (since, until)) for name, (since, until) in state["back"].items())
+        for cid in state["ids"]:
+            self.core.taken_elsewhere(cid)
+        self.server.inherit(state["begun"])
+        self.server.elsewhere = state["held"]
+
+    def linked(self) -> None:
+        """Share limits with the other processes that are there, and the listener with the one that serves."""
+        assert self.handover is not None
+        others = [link for link in self.handover.links if link.known]
+        if self.handover.older is None:
+            self.server.elsewhere = 0
+        self.workers.most = self.config.worker_connections // (1 + len(others))
+        if self.port is None:
+            return
+        if self.core.processes != 1 + len(others):
+            self.core.share(1 + len(others))
+        if self.handover.successor is None:
+            if not any(link.newer for link in others):
+                self.handover.listen()
+            self.server.crowded()
+            self.accept(self.server.accepting)
+        else:
+            self.accept(False)
+            self.server.pass_all()
+            self.tell_held()
+
+    def tell_held(self) -> None:
+        """Keep the process that serves told of the connections that are still here: they count as its own."""
+        assert self.handover is not None
+        if (successor := self.handover.successor) is not None:
+            successor.send("held", held=len(self.server.connections))
+            self.deadlines.after(TELL_EVERY, self.tell_held)
+
+    def hand(self, fd: int, **fields: Any) -> bool:
+        """Hand a connection over."""
+        return self.handover is not None and self.handover.hand(fd, **fields)
+
+    def told(self, what: str, message: dict[str, Any], fd: int | None) -> bool:
+        """Take what the other process says; gives its word where it asks."""
+        if what == "connection":
+            assert fd is not None
+            try:
+                transport = self.reactor.adoptStreamConnection(fd, socket.AF_INET, self.server)
+                self.server.adopted(transport.protocol, **{
+                    name: message[name] for name in ("client", "worker", "asked", "age")})
+            except OSError:
+                pass  # its client is gone
+            finally:
+                os.close(fd)
+        elif what == "held":
+            self.server.elsewhere = message["held"]
+            self.server.crowded()
+        elif what == "id":
+            self.core.taken_elsewhere(message["id"])
+        elif what == "callback":
+            self.server.called(message["call"])  # whether or not it is a live one's, it was heard
+        elif what in ("exclude", "include"):
+            return (self.core.exclude if what == "exclude" else self.core.include)(message["id"])
+        else:
+            raise ValueError(f"unknown message {what!r}")
+        return True
+
+    def ban(self, what: str, worker: str, patience: int = BAN_TRIES) -> Deferred[bool]:
+        """Ban a worker or put it back, here and at the other process."""
+        done: Deferred[bool] = Deferred()
+        if self.port is None and patience:  # what the process that runs hands over is still to come
+            self.deadlines.after(
+                LOOK_EVERY, lambda: self.ban(what, worker, patience - 1).addCallback(done.callback))
+            return done
+        good = (self.core.exclude if what == "exclude" else self.core.include)(worker)
+        if self.handover is None:
+            done.callback(good)
+        else:
+            self.handover.tell(what, id=worker).addCallback(lambda others: done.callback(good or others))
+        return done
+
+    # ---- signals ----
 
     def sigterm(self, *_: object) -> None:
         """Begin the planned end: from a signal handler, so the reactor's own turn does it."""
@@ -122,7 +268,7 @@
 
     def limit(self) -> None:
         """Hand the limits out."""
-        self.workers.most = self.config.worker_connections
+        self.workers.most = self.config.worker_connections // self.core.processes
         self.workers.report_fields = self.config.report_fields
         self.workers.idle_for, self.workers.connect_for = self.config.idle_ms, self.config.connect_ms
         self.discovery.live = self.config.live_weights
@@ -139,6 +285,8 @@
         self.stopping = True
         self.log.write("drain", f"{len(self.core.jobs)} jobs are out")
         self.server.drain()
+        longest = max(c.deadline for c in self.core.classes.values())
+        self.server.until = self.deadlines.now() + max(longest, LONGEST_LEAST) + SERVE_FOR
         self.deadlines.after(SERVE_FOR, self.refuse)
 
     def refuse(self) -> None:
@@ -148,10 +296,14 @@
 
     def look(self) -> None:
         """End once nothing is owed and every client's connection is closed."""
-        if len(self.core.jobs) or not self.server.quiet or any(c.client for c in self.server.connections):
+        leaving = self.handover is not None and any(link.sent for link in self.handover.links)
+        clients = any(c.client or c.passing is not None for c in self.server.connections)
+        if len(self.core.jobs) or not self.server.quiet or clients or leaving:
             self.deadlines.after(LOOK_EVERY, self.look)
             return
         self.log.write("exit", "all that was taken is answered")
         self.discovery.close()
         self.workers.close()
+        if self.handover is not None:
+            self.handover.close()
         self.reactor.stop()
--- a/elderstall/config.py
+++ b/elderstall/config.py
@@ -62,6 +62,7 @@
     reading_bytes: int
     progress: Progress = Progress()
     console: tuple[str, int] | None = None  # the second address to listen on
+    folder: str | None = None  # where this dispatcher's processes find each other
     raw: Any = field(default=None, compare=False, repr=False)  # the file, as it was read
 
 
@@ -165,7 +166,7 @@
         client_hard=usable - workers,
         reading_bytes=int(max(READING_LEAST, (memory - FOOTPRINT) * READING_PART) * 1024 * 1024),
         progress=progress_of(front), console=address_of(console, "console") if console else None,
-        raw=raw)
+        folder=env.get("TMPDIR") or None, raw=raw)
 
 
 FIXED = {"name": "name", "listen": "host port", "console": "console"}  # what the sockets were made with
--- a/elderstall/core.py
+++ b/elderstall/core.py
@@ -173,12 +173,14 @@
                  slack: float = 8.0, max_open: int = 20_000) -> None:
         self.s, self.deadlines, self.carrier, self.log = settings, deadlines, carrier, log
         self.module = Dispatcher(settings, seed)
-        self.slack = slack
+        self.slack, self.processes = slack, 1
         self.classes = {c.name: c for c in settings.classes}
         self.tenants = {t.name for t in settings.tenants}
         self.jobs: Slots[Job] = Slots(max_open)
         self.by_cid: dict[str, Job] = {}
         self.answered: OrderedDict[str, None] = OrderedDict()  # ids, the latest last
+        self.elsewhere: OrderedDict[str, None] = OrderedDict()  # taken by the other process of an upgrade
+        self.on_taken: Callable[[str], None] = lambda cid: None
         self.workers: dict[str, Known] = {}  # all that were ever listed, as they count: see shown
         self.listing: dict[str, i.Listed] = {}  # as discovery tells it
         self.banned: dict[str, float] = {}  # by hand; since when
@@ -224,7 +226,12 @@
         self.classes = {c.name: c for c in settings.classes}
         self.tenants = {t.name for t in settings.tenants}
         self.counts.classes += [name for name in self.classes if name not in self.counts.classes]
-        self.feed(i.Retuned(settings))
+        self.share(self.processes)
+
+    def share(self, processes: int) -> None:
+        """Leave the other process of an upgrade its part of what cold workers may be sent, for rule 4."""
+        self.processes = processes
+        self.feed(i.Retuned(replace(self.s, push_multiple=self.s.push_multiple / processes)))
 
     def set_timer(self, action: i.SetTimer) -> None:
         """Carry out SetTimer."""
@@ -309,7 +316,7 @@
 
     def take(self, ask: Ask, client: Client) -> int:
         """Take a job on; from here it is owed one final answer. Gives its number."""
-        if ask.cid in self.by_cid or ask.cid in self.answered:
+        if self.knows(ask.cid) or ask.cid in self.elsewhere:
             # Guards against a second run under another client's id: every request, a retry too, has its own.
             raise RepeatedIdError(ask.cid)
         if self.jobs.full:
@@ -318,12 +325,23 @@
         job = Job(ask, client, self.classes[ask.job_class], now, now + ask.budget)
         job.number = self.jobs.add(job)
         self.by_cid[ask.cid] = job
+        self.on_taken(ask.cid)
         # Guards rule 1 whatever the module does: half the slack past the deadline the core answers itself.
         job.guard = self.deadlines.at(job.deadline + self.slack / 2, self.overdue, job)
         self.feed(i.JobArrived(job.number, ask.job_class, ask.budget, ask.tenant, ask.key, ask.work_hint,
                                ask.slots))
         return job.number
 
+    def knows(self, cid: str) -> bool:
+        """Say whether this process took an id."""
+        return cid in self.by_cid or cid in self.answered
+
+    def taken_elsewhere(self, cid: str) -> None:
+        """Note an id that the other process of an upgrade took."""
+        self.elsewhere[cid] = None
+        if len(self.elsewhere) > REMEMBERED:
+            self.elsewhere.popitem(last=False)
+
     def left(self, number: int) -> None:
         """Note that the client of a job is gone: nothing is owed, its attempt is given up."""
         job = self.jobs.get(number)
--- a/elderstall/net/discovery.py
+++ b/elderstall/net/discovery.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 from typing import Protocol as Shape
 
@@ -63,6 +63,15 @@
     return value["index"], scope, [entry_of(e, live) for e in value["endpoints"]]
 
 
+def told_as(index: int, entries: Iterable[i.Listed], addresses: Mapping[str, str]) -> dict[str, Any]:
+    """Write a whole list in discovery's form."""
+    states = {state: name for name, state in STATES.items()}
+    return {"index": index, "snapshot": True, "endpoints": [
+        {"name": e.worker, "address": addresses[e.worker], "zone": e.zone, "type": e.kind, "group": e.cell,
+         "status": states[e.state], "weight": e.weight, "since_ms": e.started or 0}
+        for e in entries if e.worker in addresses]}
+
+
 class WatchConnection(Protocol):
     """One connection to discovery: an answer without end, a line a change."""
 
--- a/elderstall/net/server.py
+++ b/elderstall/net/server.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import json
+import os
 import re
 from collections.abc import Callable
 from typing import Any
 from typing import Protocol as Shape
 from urllib.parse import parse_qs, urlsplit
 
+from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectionDone
 from twisted.internet.interfaces import IPushProducer
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 from twisted.python.failure import Failure
@@ -146,6 +149,7 @@
         self.reason = "peer-closed"
         self.timer: Deadline | None = None
         self.close_after = False
+        self.passing: int | None = None  # a copy of its descriptor, for the process that takes it over
         self.stream: Stream | None = None  # of the job that is out, where its client asked for events
 
     def connectionMade(self) -> None:  # noqa: N802, D102
@@ -283,6 +287,8 @@
 
     def rest(self) -> None:
         """Wait for the next request, or go on with one that has come already."""
+        if self.pass_on():
+            return
         self.server.move(self, RESTING if self.client or self.worker else ASKED)
         self.wait(self.server.idle_for, "idle")
         if not self.parser.idle:
@@ -291,6 +297,28 @@
             self.wait(self.server.request_for, "slow-request")
         self.step()
 
+    def pass_on(self) -> bool:
+        """Leave a connection that is between requests to the process that takes over, if there is one.
+
+        Nothing is shut down: what the client writes from here on waits in the kernel for the other process.
+        """
+        idle = not (self.busy or self.blocked or self.closing or self.message or self.paused)
+        if not (idle and self.parser.idle and self.server.may_pass()):
+            return False
+        try:
+            self.passing = os.dup(self.transport.fileno())
+        except OSError:
+            return False
+        self.closing, self.reason = True, "passed"
+        if self.timer is not None:
+            self.timer.cancel()
+        self.server.move(self, None)
+        self.transport.unregisterProducer()
+        # Twisted would shut the socket down for both; it still writes first what there is to write.
+        self.transport._shouldShutdown = False
+        self.transport.loseConnection()
+        return True
+
     def finish(self, status: int, reason: str, body: bytes, headers: tuple[tuple[str, str], ...] = (),
                ) -> None:
         """Answer what is no request to serve, and close."""
@@ -409,8 +437,11 @@
         self.server.move(self, None)
         self.server.ending -= self.ended
         self.server.connections.remove(self.number)
-        self.server.log.ended("client" if self.client else "peer", self.number, self.reason,
-                              f"{self.requests} requests")
+        if self.passing is not None:
+            self.server.passed(self, isinstance(reason.value, ConnectionDone))  # else it broke first
+        else:
+            self.server.log.ended("client" if self.client else "peer", self.number, self.reason,
+                                  f"{self.requests} requests")
         self.server.crowded()
 
 
@@ -439,6 +470,11 @@
         self.refusing = False
         self.accept: Callable[[bool], None] = lambda on: None  # turns the listening port's reading on or off
         self.accepting = True
+        self.may_pass: Callable[[], bool] = lambda: False  # whether another process takes connections over
+        self.hand: Callable[..., bool] = lambda fd, **fields: False  # gives it one
+        self.ask_others: Callable[[Any], Deferred[bool] | None] = lambda call: None  # about a call-back
+        self.elsewhere = 0  # connections of the other process, which count against our limits
+        self.until: float | None = None  # when the platform may kill a program that ends
         self.on_closed: Callable[[], None] = lambda: None
 
     def buildProtocol(self, addr: object) -> Protocol | None:  # noqa: N802, D102
@@ -465,12 +501,13 @@
 
         Guards the usual clients and workers' call-backs against hundreds that connect and say nothing.
         """
-        while len(self.connections) - self.ending > self.soft and (c := self.sheddable()) is not None:
+        soft = self.soft - self.elsewhere
+        while len(self.connections) - self.ending > soft and (c := self.sheddable()) is not None:
             c.shed()
-        if (on := len(self.connections) < self.most) is not self.accepting:
+        if (on := len(self.connections) < self.most - self.elsewhere) is not self.accepting:
             self.accepting = on
             self.accept(on)
-        if len(self.connections) - self.ending > self.soft and self.looking is None:
+        if len(self.connections) - self.ending > soft and self.looking is None:
             self.looking = self.deadlines.after(YOUNG, self.look_again)  # the youngest will be older then
         if not self.connections:
             self.on_closed()
@@ -488,7 +525,8 @@
     def closes(self, connection: ServerConnection) -> bool:
         """Say whether a connection ends after its answer."""
         # Not yet while draining: clients that we send away may find no other dispatcher just then.
-        return self.refusing and connection.client
+        # Nor where another process serves: it gets the connection.
+        return self.refusing and connection.client and not self.may_pass()
 
     def close_reason(self) -> str:
         """Name the reason of such an end."""
@@ -512,8 +550,11 @@
             ask, c.ask = c.ask, None
             self.job(c, message, ask)
         elif message.method == "POST":
-            self.callback(c, message)
-            c.reply(204)
+            others = self.callback(c, message)
+            if others is None:
+                c.reply(204)
+            else:  # without the other's word the worker is to try again
+                others.addCallback(lambda good: c.reply(204 if good else 503))
         else:
             c.reply(503 if self.draining else 200, b"draining\n" if self.draining else b"up\n")
 
@@ -529,9 +570,10 @@
     def job(self, c: ServerConnection, message: http.Message, ask: Ask) -> None:
         """Take a client's job."""
         c.client = True
-        if self.refusing:
+        late = self.until is not None and self.deadlines.now() + ask.budget > self.until
+        if self.refusing and (late or not self.may_pass()):
             raise self.turned_away(ask, "shutting down")
-        if self.working > self.soft:
+        if self.working > self.soft - self.elsewhere:
             # Guards the descriptors that workers' call-backs need.
             raise self.turned_away(ask, "too many connections")
         if self.weight > 2 * self.weight_most:
@@ -558,8 +600,11 @@
         if c.busy:  # else it has been answered already
             c.job = number
 
-    def callback(self, c: ServerConnection, message: http.Message) -> None:
-        """Take what a worker tells; only a live attempt's own worker is heard."""
+    def callback(self, c: ServerConnection, message: http.Message) -> Deferred[bool] | None:
+        """Take what a worker tells; only a live attempt's own worker is heard.
+
+        A job that is not this process's may be that of the other one of an upgrade, which is then asked.
+        """
         try:
             call: Any = json.loads(message.body)
         except (ValueError, RecursionError):
@@ -569,10 +614,19 @@
         cid, worker, state = call.get("id"), call.get("from"), call.get("state")
         if not (isinstance(cid, str) and isinstance(worker, str) and isinstance(state, str)):
             raise RequestError(400, "id, from and state are text")
+        if not self.core.knows(cid) and (others := self.ask_others(call)) is not None:
+            c.worker = True
+            return others
+        if self.called(call):
+            c.worker = True
+        return None
+
+    def called(self, call: Any) -> bool:
+        """Act on what a worker tells of a job here; say whether its attempt is live."""
+        cid, worker, state = call["id"], call["from"], call["state"]
         attempt = self.core.live(cid, worker)
         if attempt is None:
-            return
-        c.worker = True
+            return False
         if state in ("started", "running"):
             share = call.get("share")
             done = float(share) if isinstance(share, int | float) and 0 <= share <= 1 else 0.0
@@ -584,6 +638,41 @@
                 ENDINGS[state], text.encode("utf-8", "surrogatepass"), self.report_of(call.get("load"))))
         else:
             self.log.write("callback", f"{worker}: unknown state {state!r}")
+        return True
+
+    # ---- an upgrade ----
+
+    def streamed(self) -> list[str]:
+        """Give the ids of jobs that must not run again for a reconnect; the second front has such."""
+        return []
+
+    def inherit(self, streamed: list[str]) -> None:
+        """Take those of the process that hands over."""
+
+    def pass_all(self) -> None:
+        """Hand over the connections between requests, as many as may be on the way."""
+        for c in [c for place in (RESTING, ASKED, UNASKED) for c in self.places[place].values()]:
+            if not self.may_pass():
+                return
+            c.pass_on()
+
+    def passed(self, c: ServerConnection, whole: bool) -> None:
+        """Give a connection that this process has let go of to the other one."""
+        fd, c.passing = c.passing, None
+        if fd is None:
+            return
+        age = self.deadlines.now() - c.began
+        if not whole or not self.hand(fd, client=c.client, worker=c.worker, asked=c.requests, age=age):
+            os.close(fd)
+
+    def adopted(self, c: ServerConnection, client: bool, worker: bool, asked: int, age: float) -> None:
+        """Go on with a connection that the other process has handed over."""
+        c.client, c.worker, c.requests = client, worker, asked
+        if asked:
+            c.rest()
+        else:
+            c.began -= age
+            c.wait(max(0.0, self.request_for - age), "silent")
 
     # ---- the end ----
 
@@ -595,7 +684,8 @@
         """Take no new jobs; clients' connections between requests end."""
         self.refusing = True
         for c in self.connections:
-            if c.client and not c.busy and not c.closing and c.parser.idle and not c.message:
+            idle = not (c.busy or c.closing or c.message) and c.parser.idle
+            if c.client and idle and not c.pass_on():
                 c.linger("drain")
 
     @property
--- a/elderstall/net/sse.py
+++ b/elderstall/net/sse.py
@@ -276,6 +276,14 @@
         super().__init__(*args, **named)
         self.begun: OrderedDict[str, None] = OrderedDict()  # ids of the latest jobs that were streamed
 
+    def streamed(self) -> list[str]:
+        """Give the ids whose streams have begun."""
+        return list(self.begun)
+
+    def inherit(self, streamed: list[str]) -> None:
+        """Take those of the process that hands over."""
+        self.begun.update(dict.fromkeys(streamed))
+
     def submit(self, c: ServerConnection, message: http.Message, ask: Ask) -> None:
         """Hand a job in, with a stream for its client if that is asked for.
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -96,33 +96,43 @@
     def begin(self, *options: str) -> None:
         raw = platform()
         raw["known"]["endpoints"] = [entry("w1", address=self.worker.address)]
-        raw.update(listen="127.0.0.1:0", discovery=self.discovery.address)
+        raw.update(listen="127.0.0.1:0", discovery=self.discovery.address, console="127.0.0.1:0")
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
-        self.raw, self.file = raw, Path(folder.name, "config.json")
-        self.file.write_text(json.dumps(raw))
-        env = {**os.environ, "RELAY_CONFIG": str(self.file)}
-        self.program = subprocess.Popen(
+        self.raw, self.file, self.folder = raw, Path(folder.name, "config.json"), folder.name
+        self.program, self.address, self.console = self.launch(*options)
+
+    def launch(self, *options: str) -> tuple[subprocess.Popen[str], tuple[str, int], tuple[str, int]]:
+        """Start a process; gives where it listens for clients and for operators."""
+        self.file.write_text(json.dumps(self.raw))
+        env = {**os.environ, "RELAY_CONFIG": str(self.file), "TMPDIR": self.folder}
+        program = subprocess.Popen(
             [sys.executable, "-m", "elderstall", *options], cwd=ROOT, env=env,
             stderr=subprocess.PIPE, text=True)
-        self.addCleanup(self.end)
-        assert self.program.stderr is not None
-        line = self.program.stderr.readline()
-        self.assertIn("listens on 127.0.0.1:", line)
-        self.address = ("127.0.0.1", int(line.rsplit(":", 1)[1]))
-        threading.Thread(target=self.drain_log, daemon=True).start()
-
-    def drain_log(self) -> None:
-        assert self.program.stderr is not None
-        for line in self.program.stderr:
+        self.addCleanup(self.end, program)
+        assert program.stderr is not None
+        at = {"console": ("", 0), "start": ("", 0)}
+        while not at["start"][1]:
+            line = program.stderr.readline()
+            self.assertTrue(line, "the program ended")
+            code = line.split()[1]
+            if code in at:
+                host, _, port = line.split()[-1].rpartition(":")
+                at[code] = host, int(port)
+        threading.Thread(target=self.drain_log, args=(program,), daemon=True).start()
+        return program, at["start"], at["console"]
+
+    def drain_log(self, program: subprocess.Popen[str]) -> None:
+        assert program.stderr is not None
+        for line in program.stderr:
             self.calls.append(line)
 
-    def end(self) -> None:
-        if self.program.poll() is None:
-            self.program.kill()
-        self.program.wait()
-        assert self.program.stderr is not None
-        self.program.stderr.close()
+    def end(self, program: subprocess.Popen[str]) -> None:
+        if program.poll() is None:
+            program.kill()
+        program.wait()
+        assert program.stderr is not None
+        program.stderr.close()
 
     def watch(self, line: Line) -> None:
         line.read()
@@ -157,11 +167,11 @@
         answer = self.ask(http.request("POST", "/callback", "x", (), json.dumps(call).encode()))
         assert answer.status == 204, answer.status
 
-    def connect(self) -> Line:
-        return Line(socket.create_connection(self.address, PATIENCE), responses=True)
+    def connect(self, address: tuple[str, int] | None = None) -> Line:
+        return Line(socket.create_connection(address or self.address, PATIENCE), responses=True)
 
-    def ask(self, request: bytes) -> http.Message:
-        line = self.connect()
+    def ask(self, request: bytes, address: tuple[str, int] | None = None) -> http.Message:
+        line = self.connect(address)
         with line.sock:
             line.sock.sendall(request)
             return line.read()
@@ -172,6 +182,10 @@
                   ("X-Budget-Ms", str(budget)), *more]
         return http.request("POST", f"/{job_class}?obj=1", "x", fields, b"body")
 
+
+class Running(Program):
+    """What the program does from its start to its end."""
+
     def test_jobs_are_served_and_sigterm_ends_the_program_in_order(self) -> None:
         self.begin()
         self.assertEqual(200, self.ask(http.request("GET", "/up", "x")).status)
