Serve jobs until shortly before SIGKILL instead of refusing them 0.7 s after SIGTERM

App.drain and shorten, Server.job (budget cut to what is left), Dispatcher.place (what can't be done in its time is answered at once).

--- a/elderstall/app.py
+++ b/elderstall/app.py
@@ -23,7 +23,9 @@
 from elderstall.net.sse import ProgressServer, StreamWorkers
 from elderstall.net.workers import WorkerConnection, Workers
 
-SERVE_FOR = 700.0  # ms after SIGTERM for which new jobs are still taken
+SERVE_FOR = 700.0  # ms after SIGTERM for which new jobs are taken as always
+LONGEST_MOST = 3_000.0  # ms that the longest deadline counts for: SERVE_FOR later the platform may kill
+KILL_MARGIN = 300.0  # ms before that by which all is answered, however busy the machine is
 LOOK_EVERY = 50.0  # ms between looks whether all is answered
 HAND_EVERY = 50.0  # ms between looks for connections that can be handed over now, in an upgrade
 OLD_PART = 0.25  # of the cold budget that the old process of an upgrade keeps, for jobs that can't move yet
@@ -294,13 +296,16 @@
         self.stopping = True
         self.log.write("drain", f"{len(self.core.jobs)} jobs are out")
         self.server.drain()
-        self.deadlines.after(0 if self.server.may_pass() else SERVE_FOR, self.refuse)
-
-    def refuse(self) -> None:
-        """Refuse from now on; the listener stays, as workers' call-backs come there."""
-        self.server.refuse()
+        longest = min(max(c.deadline for c in self.core.classes.values()), LONGEST_MOST)
+        self.server.until = self.deadlines.now() + longest + SERVE_FOR - KILL_MARGIN
+        self.deadlines.after(SERVE_FOR, self.shorten)
+        self.deadlines.after(longest + SERVE_FOR - KILL_MARGIN, self.server.refuse)
         self.look()
 
+    def shorten(self) -> None:
+        """Take jobs for the time left only: one that comes now and is unanswered at SIGKILL is lost."""
+        self.server.shortened = True
+
     def look(self) -> None:
         """End once nothing is owed and every client's connection is closed."""
         leaving = self.handover is not None and any(link.sent for link in self.handover.links)
--- a/elderstall/choice.py
+++ b/elderstall/choice.py
@@ -661,8 +661,9 @@
         return tokens >= 1
 
     def place(self, job: Job) -> None:
-        """Send the job if a worker has room, else hold it."""
-        if not any(self.held[:self.bucket(job) + 1]) and (w := self.choose(job)) is not None:
+        """Send the job if a worker has room, else hold it; one that can't be done in its time is answered."""
+        late = self.out_of_time(job) or any(self.held[:self.bucket(job) + 1])
+        if not late and (w := self.choose(job)) is not None:
             self.send(job, w)
         else:
             self.hold(job)
--- a/elderstall/net/server.py
+++ b/elderstall/net/server.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import json
+import math
 import os
 import re
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 from typing import Protocol as Shape
 from urllib.parse import parse_qs, urlsplit
@@ -148,7 +150,7 @@
         self.requests = 0
         self.reason = "peer-closed"
         self.timer: Deadline | None = None
-        self.close_after = False
+        self.close_after = self.sent_away = False
         self.passing: int | None = None  # a copy of its descriptor, for the process that takes it over
         self.parcel: http.Message | None = None  # the request of the job that is out
         self.moved: dict[str, Any] | None = None  # the job that goes with it
@@ -402,6 +404,7 @@
         if isinstance(answer, Served):
             self.reply(200, answer.result, (("Content-Type", "application/octet-stream"),))
         elif isinstance(answer, Refused):
+            self.sent_away = self.server.shortened  # it had better find another dispatcher
             self.reply(503, b"refused\n", retry_after(answer.retry_after))
         else:
             self.reply(504 if answer.late else 502, b"failed\n")
@@ -484,6 +487,7 @@
         self.ending = 0  # connections told to close
         self.looking: Deadline | None = None
         self.draining = False
+        self.shortened, self.until = False, math.inf  # jobs are taken only for the time until then
         self.refusing = False
         self.accept: Callable[[bool], None] = lambda on: None  # turns the listening port's reading on or off
         self.accepting = True
@@ -542,11 +546,11 @@
         """Say whether a connection ends after its answer."""
         # Not yet while draining: clients that we send away may find no other dispatcher just then.
         # Nor where another process serves: it gets the connection.
-        return self.refusing and connection.client and not self.may_pass()
+        return (self.refusing or connection.sent_away) and connection.client and not self.may_pass()
 
     def close_reason(self) -> str:
         """Name the reason of such an end."""
-        return "drain" if self.refusing else "closed-after"
+        return "drain" if self.draining else "closed-after"
 
     # ---- requests ----
 
@@ -586,8 +590,11 @@
     def job(self, c: ServerConnection, message: http.Message, ask: Ask) -> None:
         """Take a client's job."""
         c.client = True
-        if self.refusing and not self.may_pass():  # else it moves on with the job
-            raise self.turned_away(ask, "shutting down")
+        if not self.may_pass():  # else it moves on with the job
+            if self.refusing:
+                raise self.turned_away(ask, "shutting down")
+            if self.shortened:  # guards against a job that is lost with the process
+                ask = replace(ask, budget=min(ask.budget, self.until - self.deadlines.now()))
         if self.working > self.soft - self.elsewhere:
             # Guards the descriptors that workers' call-backs need.
             raise self.turned_away(ask, "too many connections")
--- a/tests/test_progress.py
+++ b/tests/test_progress.py
@@ -193,6 +193,7 @@
             w send event result hello
             c expect event result hello
             c expect end
+            wait 1500
             c expect closed
             c close
             wait 200
