Log why a job failed, and have call-backs come again for jobs on their way to the next process

Reading for that, one gap was found: a call-back that reaches the new process while its job is between the two (one turn of the reactor) was answered 204 and lost. Server.moving: the old one's word is then no, 503.

--- a/elderstall/app.py
+++ b/elderstall/app.py
@@ -220,6 +220,7 @@
             self.core.taken_elsewhere(message["id"])
         elif what == "callback":
             self.server.called(message["call"])  # whether or not it is a live one's, it was heard
+            return message["call"]["id"] not in self.server.moving
         elif what in ("exclude", "include"):
             return (self.core.exclude if what == "exclude" else self.core.include)(message["id"])
         else:
--- a/elderstall/core.py
+++ b/elderstall/core.py
@@ -156,6 +156,7 @@
     attempt: Attempt | None = None
     unsure: set[str] = field(default_factory=set)  # workers that may still speak of an earlier attempt
     guard: Deadline | None = None
+    last: str = "never sent"  # how its latest attempt ended, and where
 
 
 @dataclass(slots=True)
@@ -453,6 +454,9 @@
         if answer is not None:
             kinds = {Served: self.counts.served, Refused: self.counts.refused, Failed: self.counts.failed}
             kinds[type(answer)][job.cls.name] += 1
+            if isinstance(answer, Failed):
+                self.log.write("failed", f"job {job.ask.cid} of {job.cls.name} after "
+                                         f"{self.deadlines.now() - job.arrived:.0f} ms: {job.last}")
             job.client.answered(answer)
         if job.attempt is not None:
             self.give_up(job.attempt, Ending.CANCELLED)
@@ -561,7 +565,7 @@
     def detach(self, a: Attempt, ending: Ending) -> None:
         """Take an attempt off its job and note what its end leaves open."""
         job = a.job
-        job.attempt = None
+        job.attempt, job.last = None, f"{ending.value}, attempt {a.number} at {a.worker}"
         if a.timer is not None:
             a.timer.cancel()
         if ending not in i.NEVER_RAN:
--- a/elderstall/net/server.py
+++ b/elderstall/net/server.py
@@ -318,6 +318,7 @@
         if moved is None:
             return False
         self.moved, self.job = moved, None
+        self.server.moving.add(moved["cid"])
         if not self.let_go():  # no descriptor is free for its copy: it goes on here
             self.server.take_back(self)
         return self.passing is not None
@@ -494,6 +495,8 @@
         self.may_pass: Callable[[], bool] = lambda: False  # whether another process takes connections over
         self.hand: Callable[..., bool] = lambda fd, **fields: False  # gives it one
         self.ask_others: Callable[[Any], Deferred[bool] | None] = lambda call: None  # about a call-back
+        # Ids of jobs let go of and not yet handed over: a call-back that comes meanwhile is to come again.
+        self.moving: set[str] = set()
         self.elsewhere = 0  # connections of the other process, which count against our limits
         self.on_closed: Callable[[], None] = lambda: None
 
@@ -690,6 +693,7 @@
         """Go on with a job that could not leave."""
         moved, c.moved = c.moved, None
         if moved is not None and c.parcel is not None:
+            self.moving.discard(moved["cid"])
             number = self.core.adopt(moved, c.parcel, c)
             if c.busy:
                 c.job = number
@@ -699,6 +703,8 @@
         fd, c.passing = c.passing, None
         if fd is None:
             return
+        if c.moved is not None:
+            self.moving.discard(c.moved["cid"])
         fields: dict[str, Any] = {"client": c.client, "worker": c.worker, "asked": c.requests,
                   "age": self.deadlines.now() - c.began}
         if c.moved is not None and c.parcel is not None:
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -246,3 +246,25 @@
             o send GET /api/telemetry
             o expect 200 skipped_card_workers=1
         """, workers=2)
+
+
+class Trouble(Scenario):
+    """What the log tells of jobs that went wrong."""
+
+    def test_a_failed_job_is_logged_with_the_end_of_its_last_attempt(self) -> None:
+        self.play("""
+            c send job a1 deck-build
+            w expect POST a1
+            w send 500
+            c expect 502
+            log expect failed job a1 of deck-build after 0 ms: error, attempt 0 at w1
+        """)
+
+    def test_a_call_back_for_a_job_on_its_way_to_the_next_process_is_to_come_again(self) -> None:
+        """Guards against a job whose end is told between its leaving here and its arrival there."""
+        self.begin()
+        call = {"id": "a1", "from": "w1", "state": "done", "result": "deck"}
+        self.world.app.server.moving.add("a1")
+        self.assertFalse(self.world.app.told("callback", {"call": call}, None))
+        self.world.app.server.moving.clear()
+        self.assertTrue(self.world.app.told("callback", {"call": call}, None))
