Let clients go 2 s after SIGTERM, so that they find the next dispatcher before it ends too

App.drain, Server.let_go: idle connections close and answers close theirs from then on; jobs that fit are still taken until 3.4 s, past which they are refused.

--- a/elderstall/app.py
+++ b/elderstall/app.py
@@ -25,6 +25,7 @@
 
 SERVE_FOR = 700.0  # ms after SIGTERM for which new jobs are taken as always
 LONGEST_MOST = 3_000.0  # ms that the longest deadline counts for: SERVE_FOR later the platform may kill
+LET_GO = 2_000.0  # ms after SIGTERM: dispatchers end 3 s apart, and clients should find the next one there
 KILL_MARGIN = 300.0  # ms before that by which all is answered, however busy the machine is
 LOOK_EVERY = 50.0  # ms between looks whether all is answered
 HAND_EVERY = 50.0  # ms between looks for connections that can be handed over now, in an upgrade
@@ -291,7 +292,7 @@
         self.server.crowded()
 
     def drain(self) -> None:
-        """Serve on a little, then refuse new jobs, and end once all that was taken is answered."""
+        """Serve on for a while, let clients go, and end once all that was taken is answered."""
         if self.stopping:
             return
         self.stopping = True
@@ -300,7 +301,7 @@
         longest = min(max(c.deadline for c in self.core.classes.values()), LONGEST_MOST)
         self.server.until = self.deadlines.now() + longest + SERVE_FOR - KILL_MARGIN
         self.deadlines.after(SERVE_FOR, self.shorten)
-        self.deadlines.after(longest + SERVE_FOR - KILL_MARGIN, self.server.refuse)
+        self.deadlines.after(min(LET_GO, longest + SERVE_FOR - KILL_MARGIN), self.server.let_go)
         self.look()
 
     def shorten(self) -> None:
--- a/elderstall/net/server.py
+++ b/elderstall/net/server.py
@@ -489,7 +489,7 @@
         self.looking: Deadline | None = None
         self.draining = False
         self.shortened, self.until = False, math.inf  # jobs are taken only for the time until then
-        self.refusing = False
+        self.leaving = False  # clients are let go
         self.accept: Callable[[bool], None] = lambda on: None  # turns the listening port's reading on or off
         self.accepting = True
         self.may_pass: Callable[[], bool] = lambda: False  # whether another process takes connections over
@@ -549,7 +549,7 @@
         """Say whether a connection ends after its answer."""
         # Not yet while draining: clients that we send away may find no other dispatcher just then.
         # Nor where another process serves: it gets the connection.
-        return (self.refusing or connection.sent_away) and connection.client and not self.may_pass()
+        return (self.leaving or connection.sent_away) and connection.client and not self.may_pass()
 
     def close_reason(self) -> str:
         """Name the reason of such an end."""
@@ -594,10 +594,11 @@
         """Take a client's job."""
         c.client = True
         if not self.may_pass():  # else it moves on with the job
-            if self.refusing:
+            left = self.until - self.deadlines.now()
+            if left <= 0:
                 raise self.turned_away(ask, "shutting down")
             if self.shortened:  # guards against a job that is lost with the process
-                ask = replace(ask, budget=min(ask.budget, self.until - self.deadlines.now()))
+                ask = replace(ask, budget=min(ask.budget, left))
         if self.working > self.soft - self.elsewhere:
             # Guards the descriptors that workers' call-backs need.
             raise self.turned_away(ask, "too many connections")
@@ -734,12 +735,12 @@
     # ---- the end ----
 
     def drain(self) -> None:
-        """Say at ``/up`` that the program ends; clients are served on until ``refuse``."""
+        """Say at ``/up`` that the program ends; clients are served on until ``let_go``."""
         self.draining = True
 
-    def refuse(self) -> None:
-        """Take no new jobs; clients' connections between requests end."""
-        self.refusing = True
+    def let_go(self) -> None:
+        """End clients' connections between requests; the others end with their answer."""
+        self.leaving = True
         for c in self.connections:
             idle = not (c.busy or c.closing or c.message) and c.parser.idle
             if c.client and idle and not c.pass_on():
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -6,7 +6,7 @@
     c send raw TEXT / bytewise ...                     TEXT with \\r\\n escapes / one byte at a time
     c expect STATUS [WORDS] [Name: value]              the next answer, and what its body has in it
     c expect event NAME [WORDS] / end                  the next event of a stream / its end
-    c expect nothing / closed                          no bytes / the program has closed
+    c expect nothing / open / closed                   no bytes / the program has not / has closed
     c close / close reading / send reading             gone / stops to read / reads on
     w expect POST ID [left=MS] / DELETE ID / nothing   the next request at any worker, which is then w
     w send STATUS [Name: value] / stream / event NAME DATA / end / raw TEXT
@@ -306,8 +306,8 @@
         first, _, rest = words.partition(" ")
         if words == "nothing":
             self.assertEqual(([], []), (peer.messages, peer.events))
-        elif words == "closed":
-            self.assertTrue(peer.wire.half or peer.wire.gone)
+        elif words in ("closed", "open"):
+            self.assertEqual(words == "closed", peer.wire.half or peer.wire.gone)
         elif first == "event":
             name, _, data = rest.partition(" ")
             event = peer.events.pop(0) if peer.events else "none"
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -590,6 +590,27 @@
             term expect exit
         """, workers=1)
 
+    def test_clients_are_let_go_in_time_to_find_the_next_dispatcher(self) -> None:
+        """Guards against clients that are held until the next one is told to end, too (reload)."""
+        self.play("""
+            c send job a0 deck-fetch
+            w expect POST a0
+            w send 202
+            w send call done a0 zero
+            c expect 200 zero
+            term send
+            wait 1900
+            c expect open
+            wait 200
+            c expect closed
+            c2 send job a1 deck-fetch
+            w expect POST a1 left=1300
+            w send 202
+            w send call done a1 one
+            c2 expect 200 one
+            c2 expect closed
+        """)
+
     def test_sigterm_serves_on_then_refuses_and_ends_when_empty(self) -> None:
         self.play("""
             c send job a1 deck-build budget=9000
@@ -610,7 +631,9 @@
             c3 send job a2 deck-fetch
             w2 expect POST a2
             w2 send 202
-            wait 2850
+            wait 1300
+            c3 expect nothing
+            wait 1600
             c4 send job a3 deck-fetch
             c4 expect 503 Retry-After: 1
             c4 expect closed
