Open a watch that fell silent anew within 2 s where dispatchers are many

All 70 dispatchers whose watch fell silent logged the same 9,300 ms.

A silent watch counts as told 6 s after it fell silent and is noticed after 3 s. Checked and ruled out: failed calls (none), the core's check on drains (it is not told), CPU (0.5 s in the busiest second).

Change: a watch that lived for a second is opened anew after a random share of 75 ms a dispatcher, 2 s at most; one that ends sooner counts as a failed call, and such waits double over repeats. Up to 16 dispatchers: as before. Tests: the call after a silent watch goes out within 2 s for 17 to 1,024 dispatchers (fails before), watches that end at once wait ever longer.

--- a/elderstall/choice.py
+++ b/elderstall/choice.py
@@ -216,10 +216,10 @@
         """Take news of the list; a worker missing from a whole list is gone."""
         if e.scope is i.ListScope.FAILED:
             # Guards against a list out of reach: ask again, ever later, but before we are deemed told.
-            self.ask_in(self.calls.fail(self.rng))
+            self.ask_in(self.calls.fail(self.rng, self.now))
             self.actions.append(i.Log(f"list out of reach; asked again within {self.calls.waited:.0f} ms"))
             return
-        self.ask_at = math.inf if self.calls.answered() else self.ask_at  # not the list known at the start
+        self.ask_at = math.inf if self.calls.answered(self.now) else self.ask_at  # not the one known at first
         before = [(w.open, w.started) for w in self.workers.values()]
         if e.scope is i.ListScope.WHOLE:
             for w in self.workers.values():
--- a/elderstall/recovery/listing.py
+++ b/elderstall/recovery/listing.py
@@ -13,10 +13,15 @@
 call). The rate at which the fleet tries again is then the same for any number of dispatchers, and falls
 by half with each round. Small fleets call as before: at once, and again after 250 ms, doubling to a
 quarter of `ask_within`.
+
+A watch that was open and ends is another matter: it says nothing against discovery, and what it misses
+counts as told 6 s after it fell silent, which is noticed only 3 s after its last line. So it is opened
+anew soon, the calls of many spread as after a start; only if that call fails does the long wait begin.
 """
 
 from __future__ import annotations
 
+import math
 import random
 from dataclasses import dataclass
 
@@ -26,6 +31,8 @@
 AGAIN_LEAST = 250.0  # ms at least before a failed call is made again, so that none spins
 SMALL_MOST = 0.25  # of ask_within: the longest wait of a small fleet, which is asked of nobody else
 LARGE_MOST = 2.0  # of ask_within: the longest wait of a large fleet; the rules allow four after a failure
+BROKEN_MOST = 2_000.0  # ms before a broken watch is opened anew: 3 s to notice, 1 s for the call, of 6 s
+LIVED_LEAST = 1_000.0  # ms: a watch that ends sooner after its answer is as a failed call, or it would spin
 SMALL_JITTER = 0.6  # least share of the wait in a small fleet, as before
 
 
@@ -40,10 +47,11 @@
     dispatchers: int = 1
     ask_within: float = 10_000.0
     calling: bool = False  # a call is out whose answer has not come
-    failures: int = 0  # calls failed in a row
+    failures: int = 0  # calls failed in a row, with no watch that lived in between
     waited: float = 0.0  # ms of the last wait before the next call
     made: int = 0  # calls in all, for the figures
     failed: int = 0  # failed calls in all, for the figures
+    told: float = -math.inf  # ms; when a call of ours was last answered
 
     @property
     def many(self) -> bool:
@@ -61,15 +69,18 @@
         self.calling = True
         self.made += 1
 
-    def answered(self) -> bool:
+    def answered(self, now: float) -> bool:
         """Take a list; say whether it answers a call of ours, rather than being known at the start."""
         was, self.calling = self.calling, False
         if was:
-            self.failures, self.waited = 0, 0.0
+            self.waited, self.told = 0.0, now
         return was
 
-    def fail(self, rng: random.Random) -> float:
-        """Take a failed call, and give the delay before the next one."""
+    def fail(self, rng: random.Random, now: float) -> float:
+        """Take a failed call, or the end of an open watch, and give the delay before the next call."""
+        if self.many and not self.calling and now - self.told >= LIVED_LEAST:
+            self.failures, self.waited = 0, min(SPREAD_EACH * self.dispatchers, BROKEN_MOST)
+            return max(AGAIN_LEAST, self.waited * rng.random())
         self.calling = False
         self.failures += 1
         self.failed += 1
--- a/tests/test_list_calls.py
+++ b/tests/test_list_calls.py
@@ -14,7 +14,15 @@
 from elderstall import interface as i
 from elderstall.choice import TIMER_ASK
 from elderstall.recovery import listing
-from elderstall.recovery.listing import AGAIN_EACH, AGAIN_LEAST, LARGE_MOST, MANY, SPREAD_EACH, ListCalls
+from elderstall.recovery.listing import (
+    AGAIN_EACH,
+    AGAIN_LEAST,
+    LARGE_MOST,
+    LIVED_LEAST,
+    MANY,
+    SPREAD_EACH,
+    ListCalls,
+)
 
 CLASSES = (i.JobClass("fetch", 2.0, 250.0, 5_000.0, stretch=2.0),)
 KNOWN = (i.Listed("w1", "k"), i.Listed("w2", "k"))
@@ -49,7 +57,7 @@
         waited = 0.0
         for _ in range(8):
             waited = min(max(250.0, waited * 2), 2_500.0)  # the rule of the program before
-            self.assertEqual(waited * old.uniform(0.6, 1.0), calls.fail(rng))
+            self.assertEqual(waited * old.uniform(0.6, 1.0), calls.fail(rng, 0.0))
 
 
 class Large(unittest.TestCase):
@@ -75,11 +83,33 @@
         """The fleet's rate of calls again is alike for any size, halves each round, and never spins."""
         calls, rng = ListCalls(n, 10_000.0), random.Random(seed)
         for k in range(1, rounds + 1):
-            delay = calls.fail(rng)
+            calls.call()
+            delay = calls.fail(rng, 1_000.0 * k)
             self.assertEqual(min(AGAIN_EACH * n * 2 ** (k - 1), LARGE_MOST * 10_000.0), calls.waited)
             self.assertGreaterEqual(delay, AGAIN_LEAST)
             self.assertLessEqual(delay, max(AGAIN_LEAST, calls.waited))
-        self.assertTrue(calls.answered() is False)  # no call was out: the failures were of watches
+        self.assertFalse(calls.answered(0.0))  # no call is out: a list known before answers none
+
+    @given(st.integers(MANY + 1, 1_024), st.integers(0, 2**32), st.floats(LIVED_LEAST + 1, 100_000.0))
+    def test_a_watch_that_falls_silent_is_opened_anew_before_what_it_misses_counts_as_told(
+            self, n: int, seed: int, lived: float) -> None:
+        """Silence is noticed after 3 s and counts as told after 6: the call must go out well before."""
+        d = module(n, n - 1, seed)
+        (delay,) = asks_in(started(d))
+        d.handle(delay, i.TimerFired(TIMER_ASK))
+        d.handle(delay + 5.0, i.WorkerList(i.ListScope.CHANGES, ()))
+        (again,) = asks_in(d.handle(delay + 5.0 + lived, i.WorkerList(i.ListScope.FAILED)))
+        self.assertTrue(AGAIN_LEAST <= again <= 2_000.0, again)
+        self.assertEqual(1, follows(d.handle(delay + 5.0 + lived + again, i.TimerFired(TIMER_ASK))))
+
+    @given(st.integers(MANY + 1, 1_024), st.floats(0.0, LIVED_LEAST - 1.0))
+    def test_watches_that_end_at_once_wait_as_failed_calls_do(self, n: int, lived: float) -> None:
+        calls, rng, now = ListCalls(n, 10_000.0), random.Random(1), 0.0
+        for k in range(3):
+            calls.call()
+            calls.answered(now)
+            calls.fail(rng, now := now + lived)
+            self.assertEqual(min(AGAIN_EACH * n * 2 ** k, LARGE_MOST * 10_000.0), calls.waited)
 
     @given(st.integers(MANY + 1, 1_000), st.integers(0, 2**32))
     def test_first_calls_of_a_fleet_keep_to_their_rate(self, n: int, seed: int) -> None:
