Let the worker connection free for longest give way where descriptors are fewer than workers

Need: a dispatcher may have fewer descriptors than there are workers (256 descriptors leave 66 connections to workers). At fault: `Pool.begin` (net/workers.py) called a worker unreachable once free connections to other workers filled the limit, until these were 8 s old; each such worker was then skipped.

Change: free connections stand in order of how long they are free; at the limit the first is closed for the new one, at most 8 in one turn of the reactor, as they hold their descriptors until the next. Connections in use never give way. Test: five workers, two connections, ten jobs, each tried once (fails without).

Constants looked through for caps under 1,024: none on workers or dispatchers (slots 65,535, a list's line 4 MiB, callers of the console 16, backlog 1,024).

--- a/elderstall/net/workers.py
+++ b/elderstall/net/workers.py
@@ -35,6 +35,7 @@
 STALE_RATIO = 2.0  # times as often as new connections must kept ones break to be taken for cut
 SUSPECT = 1_000.0  # ms: while free connections are kept for less, jobs not to be repeated go over new ones
 NEW_BROKE = 0.5  # of breaks of new connections, decayed: from one some thirty uses ago
+ENDING_MOST = 8  # connections told to close at once to make room: they hold descriptors for one turn more
 KEEP_AGAIN = 10_000.0, 60_000.0  # ms after which connections are kept twice as long again: first, and at most
 
 Connect = Callable[[str, Factory], Deferred["WorkerConnection"]]  # to an address, within the time allowed
@@ -153,6 +154,7 @@
     def drop(self, reason: str, detail: str = "") -> None:
         """End the connection from here."""
         self.reason = reason
+        self.pool.workers.ending.add(self)
         if detail:
             self.pool.workers.log.write("bad-answer", f"{self.pool.name}: {detail}")
         self.transport.abortConnection()
@@ -160,6 +162,7 @@
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802, D102
         if self.idle_timer is not None:
             self.idle_timer.cancel()
+        self.pool.workers.ending.discard(self)
         self.pool.forget(self)
         exchange, self.exchange = self.exchange, None
         self.pool.workers.log.ended("worker", self.number, self.reason, self.pool.name)
@@ -190,6 +193,7 @@
             connection.drop("retired")
             return
         self.idle.append(connection)
+        self.workers.resting[connection] = None
         connection.rested = self.workers.deadlines.now()
         connection.idle_timer = self.workers.deadlines.after(self.workers.keep, self.retire, connection)
 
@@ -197,12 +201,14 @@
         """Close an idle connection."""
         if connection in self.idle:
             self.idle.remove(connection)
+            self.workers.resting.pop(connection, None)
             connection.drop("idle")
 
     def forget(self, connection: WorkerConnection) -> None:
         """Take a connection off that has ended."""
         if connection in self.idle:
             self.idle.remove(connection)
+        self.workers.resting.pop(connection, None)
         self.workers.connections.remove(connection.number)
 
     def close(self) -> None:
@@ -227,9 +233,10 @@
         self.doubt(self.workers.keep)  # it may have been cut since they came to rest
         if self.idle and (repeatable or not self.workers.new_safer):
             connection = self.idle.pop()
+            self.workers.resting.pop(connection, None)
             connection.start(request, exchange, max_body)
             return lambda: self.call_off(connection, exchange)
-        if len(self.workers.connections) + self.workers.opening >= self.workers.most:
+        if not self.workers.room_for_one():
             self.workers.log.write("limit", f"no descriptor for a connection to {self.name}")
             exchange.broke(Ending.UNREACHABLE)
             return lambda: Ending.UNREACHABLE
@@ -394,9 +401,26 @@
         self.connections: Slots[WorkerConnection] = Slots()
         self.wrote: Callable[[], None] = lambda: None  # told of each job whose last byte was written
         self.most, self.opening = most, 0  # those still coming up count too
+        self.resting = dict[WorkerConnection, None]()  # free ones, that free for longest first
+        self.ending = set[WorkerConnection]()  # told to close; the reactor's next turn does it
         self.pools: dict[str, Pool] = {}
         self.started: dict[str, float | None] = {}
 
+    def room_for_one(self) -> bool:
+        """Say whether one more connection may be opened; the one free for longest gives way to it.
+
+        Guards dispatchers with fewer descriptors than there are workers: those free would fill them all, and
+        no other worker could be reached until they are old.
+        """
+        over = len(self.connections) - len(self.ending) + self.opening - self.most + 1
+        if over <= 0:
+            return True
+        if over > 1 or not self.resting or len(self.ending) >= ENDING_MOST:
+            return False
+        oldest = next(iter(self.resting))
+        oldest.pool.retire(oldest)
+        return True
+
     @property
     def keep(self) -> float:
         """Say how long free connections are kept, ms: less where some were cut, and then ever longer."""
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -435,6 +435,23 @@
         """)
         self.assertLessEqual(self.world.app.workers.opening, 1)
 
+    def test_with_fewer_connections_than_workers_the_one_free_for_longest_gives_way(self) -> None:
+        self.begin(workers=5)
+        self.world.app.workers.most = 2
+        for n in range(1, 11):  # each worker in its turn, twice
+            self.play(f"""
+                c send job a{n} deck-fetch
+                w expect POST a{n}
+                w send 202
+                w send call done a{n} x
+                c expect 200 x
+                wait 20
+            """)
+            self.assertLessEqual(len(self.world.app.workers.connections), 2)
+        self.assertFalse(self.world.app.workers.ending)
+        self.assertEqual(10, self.world.app.core.counts.tries)
+        self.assertFalse(self.world.app.core.counts.refused["deck-fetch"])
+
     def test_over_the_limit_of_jobs_the_answer_is_503(self) -> None:
         self.begin(limits={"max_open": 1})
         self.play("""
