Take the time for drains from the settings instead of the first deployment's 2 s

Need: another deployment allows 500 ms (rules.stop_sending_within), and the core's own check on sends to workers told draining or gone had 1,500 ms as a constant (DRAIN_GRACE, core.py), three times what that rule allows. The module stops at once, so the check matters for sends held back while an earlier attempt is given up.

Change: Settings.drain_within, from the file, 2,000 ms where it says nothing; the core refuses from three quarters of it on, also after new settings. Test: with 500 ms a send 400 ms after the news is refused (fails before).

--- a/elderstall/core.py
+++ b/elderstall/core.py
@@ -22,7 +22,7 @@
 from elderstall.slots import SLOT_MASK, Slots
 
 REMEMBERED = 4_096  # ids of answered jobs kept: minutes of them at the rates known
-DRAIN_GRACE = 1_500.0  # ms after which the core itself sends nothing to a worker told draining or gone
+DRAIN_PART = 0.75  # of the time that the rule on drains allows; after that the core itself sends nothing
 
 
 @dataclass(slots=True, frozen=True)
@@ -521,7 +521,7 @@
             return "too many attempts"
         if known is None:
             return "unknown worker"
-        if known.state is not WorkerState.UP and now - known.since > DRAIN_GRACE:
+        if known.state is not WorkerState.UP and now - known.since > DRAIN_PART * self.s.drain_within:
             return "worker told draining or gone"
         if job.may_have_run and job.cls.effect is Effect.UNSAFE:
             return "may have run"
--- a/elderstall/interface.py
+++ b/elderstall/interface.py
@@ -113,6 +113,7 @@
     cold_for: float = 0.0
     push_multiple: float = 3.0
     push_window: float = 2_000.0
+    drain_within: float = 2_000.0  # ms in which new work to a worker ends once it is told draining or gone
     max_attempts: int = 1
     cpu_us_per_s: float = 0.0
     cpu_us_per_job: float = 0.0
@@ -138,7 +139,7 @@
         require(self.dispatchers >= 1, "dispatchers", "must be at least one")
         require(self.max_attempts >= 1, "max_attempts", "must be at least one")
         require(0 < self.cold_share <= 1, "cold_share", "must be above zero and at most one")
-        for name in ("ask_within", "push_window", "push_multiple", "tick"):
+        for name in ("ask_within", "push_window", "push_multiple", "drain_within", "tick"):
             require(getattr(self, name) > 0, name, "must be above zero")
         for name in ("over_share_worth", "cold_for", "cpu_us_per_s", "cpu_us_per_job",
                      "connect_timeout", "crossing_price", "fetch_price"):
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -108,6 +108,15 @@
         self.ask(i.Send(job, "w"), i.Send(job, "v"))
         self.assertEqual(([], 2), (self.carrier.sent, self.never_sent()))
 
+    def test_the_time_for_drains_is_that_of_the_settings(self) -> None:
+        """A deployment may allow 500 ms; the core held each to what the first one allows."""
+        self.core.retune(i.Settings(CLASSES, max_attempts=2, drain_within=500.0), 8.0, 100)
+        job = self.job("safe")
+        self.core.listed(i.ListScope.CHANGES, (i.Listed("w", state=i.WorkerState.DRAINING),))
+        self.clock.advance(0.4)
+        self.ask(i.Send(job, "w"))
+        self.assertEqual(([], 1), (self.carrier.sent, self.never_sent()))
+
     def test_an_unsafe_job_that_may_have_run_is_neither_sent_nor_refused(self) -> None:
         job = self.job("unsafe")
         self.ask(i.Send(job, "w"))
