Size the lane by the urgent work seen, and refuse within shares at once past the calm

Change: the lane is as large as the urgent work that a dispatcher has seen needs (a quarter of the workers at most, a tenth before anything is seen); hashes nest, so lanes of different sizes agree.

--- a/elderstall/choice.py
+++ b/elderstall/choice.py
@@ -222,7 +222,6 @@
         self.near = min(1.0, OURS / max(1, len(self.cut) + len(self.common)))
         for n, w in enumerate(self.cut + self.common):
             w.place, w.rank = (self.s.rank - n) * GOLDEN % 1, n
-        self.lane.fill(self.cut + self.common if self.asks else ())
         self.refresh_all()
         self.fit_sizes()
 
@@ -245,6 +244,7 @@
     def refresh_all(self) -> None:
         """Work out all that are up anew, and what they come to."""
         self.refresh(fleet := self.cut + self.common)
+        self.lane.fill(fleet if self.asks else ())
         self.power, self.up = sum(w.power for w in fleet), len(fleet)
         self.unproved = {w.name: w for w in fleet if w.proving}
 
--- a/elderstall/routing/lanes.py
+++ b/elderstall/routing/lanes.py
@@ -1,8 +1,8 @@
 """A lane of workers kept for urgent short jobs, the same at every dispatcher, and who may use it.
 
-A worker starts waiting jobs in order: behind one long job an urgent one is late. So a share of the workers,
-by the stable hash of their names, takes no long job, and urgent jobs ask there first. The class whose jobs
-have the least time beyond their work sets what is urgent and what is long.
+Behind one long job an urgent one is late. So a share of the workers, by the stable hash of their names, takes
+no long job, and urgent jobs ask there first. The class whose jobs have the least time beyond their work sets
+what is urgent and what is long, the urgent work seen how many workers.
 """
 
 from __future__ import annotations
@@ -12,12 +12,11 @@
 
 from elderstall.records import Job, Worker
 
-PART = 0.15  # of the workers, by hash: small, as long jobs lose them
+FILL = 0.3  # of the lane's part of all work is urgent: at twice the load that the fleet bears it is not full yet
+MOST = 0.25  # of the workers at most: where more work is urgent, the rest of it goes anywhere
 NEAR = 1.5  # times the least time to spare: who has less is urgent, whose work is more is long
-FILL = 0.6  # of the lane's part is the work of urgent jobs that goes there first; beyond, they go anywhere
 OURS = 8  # workers of the lane that one dispatcher asks, by its place in line: connections to few are kept
-GUESS = 10_000.0  # ms of work: before so much is seen, the lane is taken to fit
-MARK = PART * 2**32  # the lane is below it, by the stable hash of names
+GUESS, SEEN = 10_000.0, 100_000.0  # ms of work: until so much is seen, the lane is a tenth; remembered
 
 
 def spare(aim: float, stretch: float, work: float) -> float:
@@ -30,15 +29,16 @@
 
     def __init__(self) -> None:
         self.workers, self.limit = list[Worker](), 0.0  # limit: ms of work, and of time to spare
-        self.urgent_work, self.work = FILL * PART * GUESS, GUESS  # seen so far
+        self.urgent_work, self.work, self.cut = FILL * GUESS / 10, GUESS, 0.0  # seen; hashes below are it
 
     def adopt(self, spares: Iterable[float]) -> None:
         """Take the time to spare of each class's usual job."""
         self.limit = NEAR * min(spares)
 
     def fill(self, workers: Iterable[Worker]) -> None:
-        """Take the workers that are up, their places known; of none there is no lane."""
-        self.workers = sorted((w for w in workers if w.order[0] < MARK), key=lambda w: w.place)[:OURS]
+        """Take the workers that are up, their places known, and size the lane; of none there is no lane."""
+        self.cut = min(MOST, self.urgent_work / self.work / FILL) * 2**32  # the space of hashes
+        self.workers = sorted((w for w in workers if w.order[0] < self.cut), key=lambda w: w.place)[:OURS]
 
     def urgent(self, job: Job) -> bool:
         """Say whether a job's wanted time leaves little beyond its work."""
@@ -46,11 +46,11 @@
 
     def keeps_out(self, w: Worker, job: Job) -> bool:
         """Say whether a job is kept off a worker: a long one that is not urgent, off the lane."""
-        return bool(self.workers) and w.order[0] < MARK and job.work > self.limit and not self.urgent(job)
+        return bool(self.workers) and w.order[0] < self.cut and job.work > self.limit and not self.urgent(job)
 
     def first(self, job: Job, rng: Random) -> list[Worker]:
         """Give the workers of the lane, next in turn first, if the job asks there before its own ones."""
-        urgent = self.urgent(job)
-        self.work, self.urgent_work = self.work + job.work, self.urgent_work + urgent * job.work
-        elsewhere = not urgent or rng.random() * self.urgent_work > FILL * PART * self.work
+        urgent, fade = self.urgent(job), max(0.0, 1 - job.work / SEEN)
+        self.work, self.urgent_work = self.work * fade + job.work, self.urgent_work * fade + urgent * job.work
+        elsewhere = not urgent or rng.random() * self.urgent_work > FILL * MOST * self.work
         return [] if elsewhere else sorted(self.workers, key=lambda w: w.turn)
--- a/elderstall/routing/pressure.py
+++ b/elderstall/routing/pressure.py
@@ -1,8 +1,7 @@
 """How full the fleet is, by what workers answer, and what is turned away for it.
 
 No dispatcher of many knows the queues, but whether a worker asked in its turn is full says nearly the same to
-all. The least worth is turned away first, yet each level within the shares keeps a part while more worth is
-served in full; where that leaves the fleet full, all levels alike are turned away.
+all. The least worth goes first, yet each level within the shares keeps a part; at the brim all go alike.
 """
 
 from __future__ import annotations
@@ -38,11 +37,12 @@
 
     @property
     def now(self) -> float:
-        """Give the levels of worth that are turned away, the last in part; nothing winds up."""
-        return len(self.cuts) * max(0.0, (self.full - CALM) / (1 - CALM))
+        """Give the levels within the shares that are turned away, the last in part; nothing winds up."""
+        return max(1, len(self.cuts) - 1) * max(0.0, (self.full - CALM) / (1 - CALM))
 
     def refuses(self, worth: float) -> float:
-        """Give the chance with which a job of a worth is turned away."""
+        """Give the chance with which a job of a worth is turned away; the most worth only at the brim."""
         level = bisect_right(self.cuts, worth)
-        least_first = min(1.0 - KEPT if level else 1.0, max(0.0, self.now - level))
+        top, beyond = level == len(self.cuts), min(1.0, 2 * self.now)
+        least_first = 0.0 if top else min(1.0 - KEPT, max(0.0, self.now - level + 1)) if level else beyond
         return max(least_first, ALL_MOST * max(0.0, (self.full - BRIM) / (1 - BRIM)))
