--- a/elderstall/routing/lanes.py
+++ b/elderstall/routing/lanes.py
@@ -12,11 +12,11 @@
 
 from elderstall.records import Job, Worker
 
-FILL = 0.3  # of the lane's part of all work is urgent: at twice the load that the fleet bears it is not full yet
+FILL = 0.3  # of the lane's part of all work is urgent: not full yet at twice the load that the fleet bears
 MOST = 0.25  # of the workers at most: where more work is urgent, the rest of it goes anywhere
 NEAR = 1.5  # times the least time to spare: who has less is urgent, whose work is more is long
 OURS = 8  # workers of the lane that one dispatcher asks, by its place in line: connections to few are kept
-GUESS, SEEN = 10_000.0, 100_000.0  # ms of work: until so much is seen, the lane is a tenth; remembered
+GUESS, SEEN = 10_000.0, 100_000.0  # ms of work: until so much is seen the lane is a tenth; remembered
 
 
 def spare(aim: float, stretch: float, work: float) -> float:
