Ask workers that hold our jobs when one is held, where reports come only when asked for

Every send logged: n0 has 547 of 758 requests and held its jobs 150 ms at the median, 30 to their end, with nine workers up and none skipped (`near=0 up=9 skipped=0 held=[0, 6, 0, 15]`); n1 sent each at once. Ruled out: skips, cold limits, the upgrade (held from the first second on, before any), connections (26 at once of 384 descriptors).

Cause: `most_on` (choice.py) allows more than one job on a worker only if its last report tells of room; this deployment's load_report.source is `pull`, so none ever came. Change: a job that is held has up to three workers asked that hold jobs of ours, those told longest ago first; what they tell is lowered by each job sent. Only where reports are pulled and dispatchers are few. tests/test_pulled.py: 16 jobs at once on nine workers with room all go out (nine before), questions and jobs a worker bounded for any size, silent workers stop nothing.

--- a/elderstall/choice.py
+++ b/elderstall/choice.py
@@ -58,6 +58,7 @@
 CLAIM = 1.25  # our part of the fleet, of the work that comes to us: some room beyond the mean
 WHOLE_UNDER = 0.25  # slots: a lesser part of a worker says too little of it; whole slots are ours then
 ASKED = 3  # workers asked before a job goes to one of them: two are often both full, four gain nothing
+PULLED = 3  # workers with jobs of ours that are asked when one is held: some have room, but tell it only so
 ASK_WAIT = 30.0  # ms for their answers, which take two trips: a silent one must not make a job late
 TOLD_FOR = 150.0  # ms for which an answer stands for jobs that follow at once: reports are older anyway
 FULL_FOR = 300.0  # ms after which a full worker is asked again: its report is hardly a new one before
@@ -115,6 +116,7 @@
         self.many = settings.dispatchers * WHOLE_UNDER > SLOTS_GUESS  # so that each sees little of a worker
         free = settings.report_free_slots is not None and not settings.tells_start
         self.asks = self.many and free and settings.probes
+        self.pulls = settings.pulled and free and settings.probes and not self.asks
         self.pressure.adopt(c.worth for c in settings.classes)
         self.look = PUMP_MANY if self.many else PUMP_EVERY
         self.prompt = PROMPT_SLACK + 2 * settings.tick
@@ -256,7 +258,7 @@
                 work, time, most, guess = self.kinds[w.kind]
                 kin[w.kind] = prior * ((work + prior) / (time + prior)), max(most, guess)
             shown, slots = kin[w.kind]
-            warmth = 1.0 if w.started is None else self.warmth(w)
+            warmth = w.warmth(self.now, self.s)
             w.speed, w.slots = (w.work + shown) / (w.time + prior), max(w.peak, slots)
             w.power, w.fair = w.slots * w.speed * warmth, w.slots * warmth / each
             # Guards against queues filled unseen: of a part under a slot, whole slots of few are ours.
@@ -266,13 +268,6 @@
                 most = self.near if self.cold(w) else max(self.near, 2 * w.slots * self.claim)
                 w.fair = float(w.place < most)
 
-    def warmth(self, w: Worker) -> float:
-        """Share of its capacity that a worker surely has by its age."""
-        if w.started is None or self.s.cold_for <= 0:
-            return 1.0
-        age = max(0.0, self.now - w.started) / self.s.cold_for
-        return min(1.0, self.s.cold_share + (1 - self.s.cold_share) * age)
-
     def solve(self) -> None:
         """Re-solve the fractions, and every tenth time the pool sizes too."""
         resize = self.intervals % SIZES_EVERY == 0
@@ -344,8 +339,8 @@
             return True
         while w.pushed and w.pushed[0][0] <= self.now - self.s.push_window:
             w.pushed.popleft()
-        need, sent = job.work * job.slots, sum(work for _, work in w.pushed)
-        budget = COLD_PART * self.s.push_multiple * w.slots * w.speed * self.warmth(w) * self.s.push_window
+        need, sent, s = job.work * job.slots, sum(work for _, work in w.pushed), self.s
+        budget = COLD_PART * s.push_multiple * w.slots * w.speed * w.warmth(self.now, s) * s.push_window
         if sent + need <= budget / self.s.dispatchers:
             return True
         # Where our part is less than a job, as many dispatchers as jobs fit may send one, others each window.
@@ -519,6 +514,8 @@
             w.skip = max(FULL_SKIP, min(w.skip * 2, SKIP_MOST))
             w.skip_until = max(w.skip_until, self.now + w.skip)
         self.rotations.move(w)
+        if self.pulls:
+            self.offer(w)
         for job in [job for job in self.asking.values() if w in job.asked]:
             if not any(u.asked for u in job.asked):
                 self.decide(job)
@@ -546,7 +543,7 @@
         job.held = False
         if not job.rounds:
             self.took_turn(w, job.work * job.slots)
-        w.used += job.slots
+        w.used, w.free = w.used + job.slots, w.free - job.slots * self.pulls
         self.rotations.move(w)
         if self.s.fetch_price and job.key is not None:
             w.kept.append(job.key)
@@ -573,6 +570,8 @@
             job.held = True
             self.held[self.bucket(job)].append(job)
             self.watch_held()
+            self.ask(sorted((w for w in self.cut + self.common if self.pulls and w.used and
+                             not w.asked and w.skip_until < self.now), key=lambda w: w.told)[:PULLED])
 
     def bucket(self, job: Job) -> int:
         """Say with which held jobs a job waits: by the worth that a slot's time brings (incident i90de53)."""
--- a/elderstall/interface.py
+++ b/elderstall/interface.py
@@ -124,6 +124,7 @@
     crossing_price: float = 0.0
     fetch_price: float = 0.0
     probes: bool = False  # whether workers may be asked how they stand
+    pulled: bool = False  # whether they tell it only then, not with their answers
 
     def __post_init__(self) -> None:
         require(bool(self.classes), "classes", "at least one is needed")
--- a/elderstall/records.py
+++ b/elderstall/records.py
@@ -133,6 +133,13 @@
         """Make one of a line of the list."""
         return cls(e.worker, e.kind, e.zone, e.cell, e.started, (stable_hash(e.worker), e.worker))
 
+    def warmth(self, now: float, s: i.Settings) -> float:
+        """Share of its capacity that it surely has by its age."""
+        if self.started is None or s.cold_for <= 0:
+            return 1.0
+        age = max(0.0, now - self.started) / s.cold_for
+        return min(1.0, s.cold_share + (1 - s.cold_share) * age)
+
     def restart(self, started: float | None, now: float) -> None:
         """Take a new start: a new, cold worker; what was learned of the old process is void."""
         self.started, self.skip, self.skip_until, self.proving = started, 0.0, now, 0
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -120,7 +120,7 @@
             job = i.JobArrived(1, "order", 20_000.0, work_hint=d.typical)
             for w in d.workers.values():
                 d.handle(10_001.0, job)
-                capacity = w.slots * w.speed * d.warmth(w)
+                capacity = w.slots * w.speed * w.warmth(d.now, d.s)
                 if d.cold_room(w, d.jobs[1]):
                     pushed[w.name] += d.typical
         self.assertTrue(any(pushed.values()))
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -47,7 +47,7 @@
             sent[w.name] += sum(work for _, work in w.pushed)  # type: ignore[assignment]
     w = d.workers["k0"]
     assert len(sent) == 40
-    assert 0 < max(sent.values()) <= 3.0 * 2_000.0 * w.slots * w.speed * d.warmth(w) / 2 + d.typical
+    assert 0 < max(sent.values()) <= 3.0 * 2_000.0 * w.slots * w.speed * w.warmth(d.now, d.s) / 2 + d.typical
 
 
 def test_a_dispatcher_to_which_more_work_comes_has_more_slots_of_its_own() -> None:
--- /dev/null
+++ b/tests/test_pulled.py
@@ -0,0 +1,78 @@
+"""Where workers tell their load only if asked, and dispatchers are few: asked when a job would wait."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from elderstall import Dispatcher
+from elderstall import interface as i
+from elderstall.choice import OWN_MOST, PULLED, TOLD_FOR
+from elderstall.settings import settings_of
+
+CLASSES = (i.JobClass("build", 3.0, 300.0, 5_000.0, stretch=1.75),)
+
+
+def module(workers: int, pulled: bool = True, dispatchers: int = 2) -> Dispatcher:
+    d = Dispatcher(i.Settings(CLASSES, dispatchers=dispatchers, max_attempts=6, report_free_slots=0,
+                              probes=True, pulled=pulled, connect_timeout=250.0, tick=2.0), 1)
+    d.handle(0.0, i.Begin())
+    d.handle(0.0, i.WorkerList(i.ListScope.WHOLE, tuple(i.Listed(f"w{n}", "k") for n in range(workers))))
+    return d
+
+
+def burst(d: Dispatcher, jobs: int, now: float, free: float | None) -> tuple[int, int]:
+    """Bring jobs at one moment and answer what is asked; give how many went out, and the questions."""
+    sent = probes = 0
+    for job in range(jobs):
+        todo = d.handle(now, i.JobArrived(job, "build", 5_000.0, work_hint=400.0))
+        while todo:
+            action = todo.pop(0)
+            if isinstance(action, i.Send):
+                sent += 1
+            elif isinstance(action, i.Probe):
+                probes += 1
+                if free is not None:
+                    todo += d.handle(now, i.Probed(action.worker, i.Ending.SERVED, (free,)))
+    return sent, probes
+
+
+class Pulled(unittest.TestCase):
+    def test_a_busy_dispatcher_sends_more_than_one_job_to_workers_that_tell_of_room(self) -> None:
+        """The cause: with reports only when asked for, nothing ever showed more than one slot of a worker."""
+        sent, probes = burst(module(9), 16, 1_000.0, 3.0)
+        self.assertEqual(16, sent)
+        self.assertGreater(probes, 0)
+        self.assertEqual((9, 0), burst(module(9, pulled=False), 16, 1_000.0, 3.0))
+
+    def test_nothing_is_asked_while_there_is_room(self) -> None:
+        self.assertEqual((9, 0), burst(module(9), 9, 1_000.0, 3.0))
+
+    @settings(max_examples=40, deadline=None)
+    @given(st.integers(1, 40), st.integers(1, 120), st.floats(0.0, 4.0))
+    def test_questions_and_jobs_on_a_worker_are_bounded(self, workers: int, jobs: int, free: float) -> None:
+        d = module(workers)
+        sent, probes = burst(d, jobs, 1_000.0, free)
+        self.assertLessEqual(probes, workers)  # all in one moment: each tells once in TOLD_FOR
+        self.assertLessEqual(probes, PULLED * max(0, jobs))
+        self.assertLessEqual(max(w.used for w in d.workers.values()), OWN_MOST)
+        if free < 0.9:
+            self.assertLessEqual(sent, workers)
+        self.assertGreater(TOLD_FOR, 0.0)
+
+    def test_a_worker_that_never_answers_holds_up_nothing_else(self) -> None:
+        sent, probes = burst(module(9), 30, 1_000.0, None)
+        self.assertEqual((9, 9), (sent, probes))
+
+    def test_the_settings_say_how_reports_come(self) -> None:
+        raw = {"classes": [{"name": "a", "points": 1, "aim": 100, "deadline": 1000, "effect": "safe"}],
+               "balancers": 2, "load_report": {"fields": ["x0"], "source": "pull"}}
+        self.assertTrue(settings_of(raw).pulled)
+        raw["load_report"] = {"fields": ["x0"], "source": "piggyback"}
+        self.assertFalse(settings_of(raw).pulled)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -147,6 +147,6 @@
 def test_rule4_a_restart_under_the_same_name_is_cold_again() -> None:
     d = Driver(settings())
     d.listed(fleet(1))
-    assert d.dispatcher.warmth(d.dispatcher.workers["k0"]) == 1.0
+    assert d.dispatcher.workers["k0"].warmth(d.dispatcher.now, d.dispatcher.s) == 1.0
     d.listed(fleet(1, started=d.now))
-    assert d.dispatcher.warmth(d.dispatcher.workers["k0"]) == pytest.approx(0.3)
+    assert d.dispatcher.workers["k0"].warmth(d.dispatcher.now, d.dispatcher.s) == pytest.approx(0.3)
