Open a watch where lists are pushed too: drains were never told there

Cause: choice.py begin() follows the list only where settings.must_follow, which settings_of sets for 'subscribe' alone. Ruled out: late opening (no watch in the log at all), the core's guard (it had been told nothing).

config.py now has the program follow in any case, and says that nobody else calls at an agent of our own, so the first call goes at once however many dispatchers there are.

--- a/elderstall/choice.py
+++ b/elderstall/choice.py
@@ -108,7 +108,7 @@
     def adopt(self, settings: i.Settings) -> None:
         """Take settings: what hangs on them, and first guesses of what is yet to be learned."""
         self.s, calls = settings, self.calls
-        calls.dispatchers, calls.ask_within = settings.dispatchers, settings.ask_within
+        calls.dispatchers, calls.ask_within = settings.callers, settings.ask_within
         self.classes = {c.name: c for c in settings.classes}
         shares = (1.0, settings.over_share_worth) if settings.tenants else (1.0,)
         self.edges = tier_edges(c.worth * s for c in settings.classes for s in shares)
--- a/elderstall/config.py
+++ b/elderstall/config.py
@@ -130,6 +130,9 @@
     report = table(settings_raw, "load_report", "settings.")
     try:
         settings = settings_of(settings_raw)
+        # On sockets a watch is the only way to changes, also where an agent pushes them: what it has counts
+        # as told whether or not we watch.
+        settings = replace(settings, must_follow=True, own_list=not settings.must_follow)
     except KeyError as error:
         raise ConfigError(f"settings: {error} is missing") from None
     except (ValueError, TypeError, AttributeError) as error:
--- a/elderstall/interface.py
+++ b/elderstall/interface.py
@@ -108,6 +108,7 @@
     over_share_worth: float = 1.0
     by_work: bool = False
     must_follow: bool = False
+    own_list: bool = False  # changes come from an agent of our own; only we call there
     ask_within: float = 10_000.0
     cold_share: float = 1.0
     cold_for: float = 0.0
@@ -126,6 +127,11 @@
     probes: bool = False  # whether workers may be asked how they stand
     pulled: bool = False  # whether they tell it only then, not with their answers
 
+    @property
+    def callers(self) -> int:
+        """How many dispatchers call for the list where we do."""
+        return 1 if self.own_list else self.dispatchers
+
     def __post_init__(self) -> None:
         require(bool(self.classes), "classes", "at least one is needed")
         require(len({c.name for c in self.classes}) == len(self.classes), "classes", "names repeat")
