Take a 202 at its head, and resend only where the worker could be told of the last one's end

An answer that begins with 202 and never ends: Posted.done waited for its end, the silence time-out (workers.py expect) then closed the connection and a safe job went to the next worker, though by the protocol closing gives nothing up after the 202. The head counts now; the rest has 1 s, then the connection goes.

A worker that cannot be told: Core.recalled went on with the next attempt also where the DELETE got no answer. The job is now refused where that is harmless, else failed.

A send that waits for that word, and a job that ends meanwhile: the module counted the send as out for ever and its worker's slot as used (Core.close). It is told now.

Also: a ban by hand set the figure for the list's age back to 0.

--- a/elderstall/core.py
+++ b/elderstall/core.py
@@ -121,8 +121,8 @@
         forbid it: asked where writing had to wait, before the first byte.
         """
 
-    def recall(self, worker: str, cid: str) -> Deferred[None]:
-        """Give up an attempt that the worker has taken; fires when the worker was told, or cannot be."""
+    def recall(self, worker: str, cid: str) -> Deferred[bool]:
+        """Give up an attempt that the worker has taken; fires with whether the worker was told."""
 
     def probe(self, worker: str) -> Deferred[Outcome]:
         """Ask a worker how it stands; fires with its report, or with how that failed."""
@@ -344,7 +344,9 @@
     def show(self, worker: str) -> None:
         """Have a worker's entry seen as it counts now."""
         if worker in self.listing:
+            heard = self.counts.heard_at
             self.listed(ListScope.CHANGES, (self.listing[worker],))
+            self.counts.heard_at = heard  # it was not discovery that spoke
 
     # ---- jobs ----
 
@@ -477,7 +479,9 @@
         """Give a job its one final answer, if its client is there, and give up what is still out."""
         if job.closed:
             return
-        job.closed, job.held_send = True, None
+        job.closed, held, job.held_send = True, job.held_send, None
+        if held is not None:  # the module counts it as out
+            self.feed(i.AttemptEnded(job.number, job.sent, held.worker, Ending.NEVER_SENT, True))
         self.jobs.remove(job.number)
         del self.by_cid[job.ask.cid]
         self.answered[job.ask.cid] = None
@@ -622,11 +626,18 @@
             self.carrier.recall(a.worker, job.ask.cid).addBoth(self.recalled, job)
         self.feed(i.AttemptEnded(job.number, a.number, a.worker, ending, job.closed))
 
-    def recalled(self, _: object, job: Job) -> None:
-        """Go on with a send that waited for the worker to be told."""
+    def recalled(self, told: object, job: Job) -> None:
+        """Go on with a send that waited for the worker to be told.
+
+        Guards against two copies: a worker that could not be told may still have the job.
+        """
         job.recalls -= 1
         action = job.held_send
-        if job.recalls == 0 and action is not None and not job.closed:
+        if action is None or job.closed:
+            return
+        if told is not True:
+            self.close(job, Refused() if self.harmless(job) else Failed(), "not to be given up")
+        elif job.recalls == 0:
             job.held_send = None
             self.send(action)
 
--- a/elderstall/net/sse.py
+++ b/elderstall/net/sse.py
@@ -149,7 +149,6 @@
         self.note = note
         self.events: EventParser | None = None
         self.ended = False
-        self.stop: Callable[[], Ending] = lambda: Ending.UNREACHABLE
 
     def head(self, message: http.Message) -> None:
         """Take the head: a stream, or an answer of the platform's protocol."""
--- a/elderstall/net/workers.py
+++ b/elderstall/net/workers.py
@@ -27,6 +27,7 @@
     "transfer-encoding", "upgrade", "host", "content-length", "expect", "x-budget-ms"})
 LOAD = "/metrics/load"  # where a worker says how it stands
 PROBE_WAIT = 1.0  # connect time-outs that an answer to that may take
+ANSWER_FOR = 1_000.0  # ms in which an answer that has begun with a 202 has to end
 RECALL_WAIT = 2_000.0  # ms that a DELETE may take; its worker may have vanished
 ACCEPT_WAIT = 4.0  # connect time-outs within which a worker says that it has a job, else the path is dead
 ACCEPT_SOON = 1.0  # the same for jobs that may be sent again: a wrong guess only costs work
@@ -301,6 +302,7 @@
         self.workers, self.fired, self.message = workers, done, http.Message((1, 1), http.Headers())
         self.barred = barred
         self.timer: Deadline | None = None
+        self.stop: Callable[[], Ending] = lambda: Ending.UNREACHABLE  # calls it off
 
     def expect(self, pool: Pool, within: float, cancel: Callable[[], Ending]) -> Callable[[], Ending]:
         """Wait for the worker's word only as long as one on a living path takes.
@@ -313,6 +315,7 @@
                 pool.doubt()  # what is free there may be as dead
                 self.broke(cancel())
 
+        self.stop = cancel
         if not self.fired.called:
             self.timer = self.workers.deadlines.after(within, silent)
         return cancel
@@ -337,23 +340,34 @@
         if message.status not in self.answers:
             raise http.MessageError(502, f"{message.status} is no answer to a job")
         self.message = message
+        if message.status == 202:
+            # The worker has it from here on, and to close its connection does not give the attempt up any
+            # more, whether or not the answer ever ends.
+            self.over(None)
+            self.timer = self.workers.deadlines.after(ANSWER_FOR, lambda: self.stop())
 
     def data(self, data: bytes) -> None:
         """Bodies say nothing here."""
 
     def done(self) -> None:
         """Take the end."""
-        self.over(None if self.message.status == 202 else self.workers.outcome_of(self.message))
+        if self.message.status != 202:
+            self.over(self.workers.outcome_of(self.message))
+        elif self.timer is not None:
+            self.timer.cancel()
 
     def broke(self, ending: Ending) -> None:
-        """Take the connection's end."""
-        self.over(Outcome(ending))
+        """Take the connection's end; after the 202 it says nothing of the job."""
+        if self.timer is not None:
+            self.timer.cancel()
+        if self.message.status != 202:
+            self.over(Outcome(ending))
 
 
 class Recalled:
-    """The exchange of a DELETE: any end of it will do."""
+    """The exchange of a DELETE: any answer will do."""
 
-    def __init__(self, done: Deferred[None]) -> None:
+    def __init__(self, done: Deferred[bool]) -> None:
         self.fired = done
 
     def barred(self) -> str | None:
@@ -370,13 +384,17 @@
         """Bodies say nothing here."""
 
     def done(self) -> None:
-        """Take the end."""
-        if not self.fired.called:
-            self.fired.callback(None)
+        """Take the end: the worker knows."""
+        self.over(True)
 
     def broke(self, ending: Ending) -> None:
         """Take the connection's end."""
-        self.done()
+        self.over(False)
+
+    def over(self, told: bool) -> None:
+        """Say whether the worker knows, once."""
+        if not self.fired.called:
+            self.fired.callback(told)
 
 
 class Asked:
@@ -567,24 +585,25 @@
         request = self.job_request(ask, pool.address, budget)
         return exchange.expect(pool, within, pool.begin(request, exchange, repeatable=ask.repeatable))
 
-    def recall(self, worker: str, cid: str) -> Deferred[None]:
+    def recall(self, worker: str, cid: str) -> Deferred[bool]:
         """Tell a worker to give up a job that it has taken; see ``core.Carrier``."""
-        done: Deferred[None] = Deferred()
+        done: Deferred[bool] = Deferred()
         pool = self.pools.get(worker)
         if pool is None:
-            done.callback(None)
+            done.callback(False)
             return done
         exchange = Recalled(done)
         cancel = pool.begin(http.request("DELETE", f"/jobs/{quote(cid, safe='')}", pool.address), exchange)
 
         def waited() -> None:
             cancel()
-            exchange.done()
+            exchange.over(False)
 
         timer = self.deadlines.after(RECALL_WAIT, waited)
 
-        def over(result: None) -> None:
+        def over(told: bool) -> bool:
             timer.cancel()
+            return told
 
         return done.addCallback(over)
 
--- a/elderstall/rehearsal/wire.py
+++ b/elderstall/rehearsal/wire.py
@@ -231,25 +231,25 @@
             errand.begin()
         return errand.done
 
-    def recall(self, worker: str, cid: str) -> Deferred[None]:
+    def recall(self, worker: str, cid: str) -> Deferred[bool]:
         """Tell a worker to give an attempt up."""
-        done: Deferred[None] = Deferred()
+        done: Deferred[bool] = Deferred()
         errand = self.errands.get(cid)
         if errand is None or errand.machine.name != worker:
-            done.callback(None)
+            done.callback(False)
             return done
         self.world.audit.given_up(errand)
         self.loop.after(errand.machine.delay(), self.told, errand, done)
         return done
 
-    def told(self, errand: Errand, done: Deferred[None]) -> None:
+    def told(self, errand: Errand, done: Deferred[bool]) -> None:
         """Have a machine hear that an attempt is given up; one out of reach is waited for a while."""
         machine = errand.machine
         if self.world.reaches(self, machine) and not machine.model.paused:
             machine.cancel(errand)
-            self.loop.after(machine.delay(), done.callback, None)
+            self.loop.after(machine.delay(), done.callback, True)
         else:
-            self.loop.after(RECALL_WAIT, done.callback, None)
+            self.loop.after(RECALL_WAIT, done.callback, False)
 
     def probe(self, worker: str) -> Deferred[Outcome]:
         """Ask a worker how it stands; its answer takes two trips, and a new connection's more."""
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -23,7 +23,7 @@
 
     def __init__(self) -> None:
         self.sent: list[tuple[str, Deferred[Outcome | None]]] = []
-        self.recalls: list[Deferred[None]] = []
+        self.recalls: list[Deferred[bool]] = []
         self.probes: list[tuple[str, Deferred[Outcome]]] = []
 
     def send(self, worker: str, ask: Ask, budget: float, note: Callable[[float, str], None],
@@ -32,7 +32,7 @@
         self.sent.append((worker, done))
         return done
 
-    def recall(self, worker: str, cid: str) -> Deferred[None]:
+    def recall(self, worker: str, cid: str) -> Deferred[bool]:
         self.recalls.append(Deferred())
         return self.recalls[-1]
 
@@ -142,11 +142,50 @@
         self.clock.advance(0.31)
         self.ask(i.Send(job, "v"))
         self.assertEqual((1, 1), (len(self.carrier.sent), len(self.carrier.recalls)))
-        self.carrier.recalls[0].callback(None)
+        self.carrier.recalls[0].callback(True)
         self.assertEqual(["w", "v"], [worker for worker, _ in self.carrier.sent])
         self.carrier.sent[1][1].callback(Outcome(i.Ending.SERVED, b"deck"))
         self.assertEqual([Served(b"deck")], self.client.answers)
 
+    def test_where_the_worker_cannot_be_told_the_job_is_not_sent_again(self) -> None:
+        """The worker may have the job still: the next attempt would be a second copy."""
+        job = self.job("safe")
+        self.ask(i.Send(job, "w", 300.0))
+        self.carrier.sent[0][1].callback(None)
+        self.clock.advance(0.31)
+        self.ask(i.Send(job, "v"))
+        self.carrier.recalls[0].callback(False)
+        self.assertEqual(["w"], [worker for worker, _ in self.carrier.sent])
+        self.assertEqual([Refused()], self.client.answers)
+        self.assertEqual(1, self.never_sent())
+
+    def test_a_send_that_waits_for_that_is_over_with_its_job(self) -> None:
+        """The module counted it as out for ever, and its worker's slot as used."""
+        job = self.job("safe")
+        self.ask(i.Send(job, "w", 300.0))
+        self.carrier.sent[0][1].callback(None)
+        self.clock.advance(0.31)
+        self.ask(i.Send(job, "v"))
+        self.core.left(job)
+        ends = [e for e in self.events if isinstance(e, i.AttemptEnded) and e.number == 1]
+        self.assertEqual([("v", i.Ending.NEVER_SENT, True)], [(e.worker, e.ending, e.final) for e in ends])
+        self.carrier.recalls[0].callback(True)
+        self.assertEqual(1, len(self.carrier.sent))
+
+    def test_a_client_found_gone_at_the_send_ends_its_job(self) -> None:
+        job = self.job("safe")
+        self.client.gone = True
+        self.ask(i.Send(job, "w"))
+        self.assertEqual(([], [], 1), (self.carrier.sent, self.client.answers, self.never_sent()))
+        self.assertEqual(0, len(self.core.jobs))
+
+    def test_a_ban_is_no_news_of_discoverys(self) -> None:
+        self.core.started = True
+        self.core.listed(i.ListScope.CHANGES, (i.Listed("w"),))
+        self.clock.advance(1.0)
+        self.core.exclude("w")
+        self.assertEqual(1_000.0, self.core.figures().list_age)
+
     def test_a_carrier_that_fails_leaves_the_job_as_one_that_may_have_run(self) -> None:
         job = self.job("unsafe")
         self.ask(i.Send(job, "w"))
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -317,6 +317,56 @@
         self.assertNotIn("127.0.0.1:1", self.app.discovery.addresses.values())
 
 
+class Settings(Loopback):
+    """The settings of another customer come amid the work for the one before."""
+
+    OTHERS = ({"name": "deck-fetch", "points": 9, "aim": 90, "deadline": 900, "effect": "unsafe"},
+              {"name": "scan", "points": 1, "aim": 400, "deadline": 2000, "effect": "safe"})
+
+    def others(self) -> None:
+        settings = self.raw["settings"]
+        self.raw["settings"] = {
+            **settings, "classes": list(self.OTHERS), "rules": {**RULES, "stop_sending_within": 300},
+            "projects": [{"name": "clinic", "portion": 1, "quota_per_s": 9}],
+            "limits": {**settings["limits"], "conn_idle": 2_000, "connect_timeout": 100, "max_attempts": 2}}
+        self.app.sighup()
+        self.turn()
+
+    def test_a_job_keeps_the_terms_under_which_it_was_taken(self) -> None:
+        self.begin(workers=2)
+        old = self.client()
+        old.send(self.job("old"))
+        worker = self.take("POST old")
+        self.others()
+        worker.sock.close()  # it may have run; its class was safe when it came
+        self.take("POST old").send(http.response(202))
+        self.call_back("old", worker="w2")
+        self.assertEqual(200, self.answer(old).status)
+
+    def test_what_comes_from_then_on_has_the_new_ones_alone(self) -> None:
+        self.begin(workers=2)
+        body = self.job("half", "deck-build")
+        half = self.client()
+        half.send(body[:-2])  # its head is good under the old settings
+        self.turn()
+        self.others()
+        self.assertIn(self.answer(half).status, (400, 404))
+        for job_class, tenant, status in (("deck-build", "clinic", 400), ("scan", "norte", 400)):
+            side = self.client()
+            side.send(self.job("x", job_class).replace(b"norte", tenant.encode()))
+            self.assertEqual(status, self.answer(side).status)
+        new = self.client()
+        new.send(self.job("new").replace(b"norte", b"clinic"))
+        self.take("POST new").sock.close()  # the class of that name is not to be repeated now
+        self.assertEqual(502, self.answer(new).status)
+        module = self.app.core.module
+        self.assertEqual({"deck-fetch", "scan"}, set(module.classes))
+        self.assertEqual((300.0, 2, 100.0), (self.app.core.s.drain_within, module.s.max_attempts,
+                                             self.app.workers.connect_for))
+        self.assertEqual({"clinic"}, self.app.core.tenants)
+        self.nothing()
+
+
 class Silence(Loopback):
     """The waits in a row, against the 6 s after which what a silent watch misses counts as told."""
 
@@ -397,6 +447,24 @@
         self.call_back("a1", worker="w2")
         self.assertEqual(200, self.answer(side).status)
 
+    def test_an_answer_begun_with_202_and_never_ended_means_that_the_worker_has_the_job(self) -> None:
+        """To close its connection gives nothing up by then: the next attempt was a second copy."""
+        self.begin(workers=2)
+        side = self.client()
+        side.send(self.job("a1"))
+        worker = self.take("POST a1")
+        worker.send(b"HTTP/1.1 202 Accepted\r\nContent-Length: 5\r\n\r\nx")
+        self.wait(900)
+        self.nothing()
+        worker.read()
+        self.assertFalse(worker.ended)
+        self.wait(200)
+        worker.read()
+        self.assertTrue(worker.ended)  # no connection is kept for ever
+        self.nothing()
+        self.call_back("a1")
+        self.assertEqual(200, self.answer(side).status)
+
     def test_a_keyed_job_is_not_written_when_its_repeat_would_no_longer_be_dropped(self) -> None:
         self.begin(workers=2, classes=[*CLASSES, KEYED])
         side = self.client()
