Give up on the other process of an upgrade that reads nothing; no 2 s of drains by default

A successor that freezes after it has taken over: ids of jobs and counts were written to its link without a bound (60 bytes a job and 20 messages a second, for ever), and the old process went on leaving the listener to it. A link that is not read for 5 s is closed now, and this process serves by itself. Ruled out: descriptors on the way were bounded already (32).

Open: connections on their way to a process that froze end with it.

--- a/elderstall/net/handover.py
+++ b/elderstall/net/handover.py
@@ -14,12 +14,12 @@
 
 from twisted.internet.defer import Deferred
 from twisted.internet.endpoints import UNIXClientEndpoint
-from twisted.internet.interfaces import IFileDescriptorReceiver
+from twisted.internet.interfaces import IFileDescriptorReceiver, IPushProducer
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 from twisted.python.failure import Failure
 from zope.interface import implementer
 
-from elderstall.deadlines import Deadlines
+from elderstall.deadlines import Deadline, Deadlines
 from elderstall.log import Log
 from elderstall.net.buffer import Buffer
 
@@ -35,7 +35,7 @@
 Message = dict[str, Any]
 
 
-@implementer(IFileDescriptorReceiver)
+@implementer(IFileDescriptorReceiver, IPushProducer)
 class Link(Protocol):
     """The way to the other process of an upgrade."""
 
@@ -50,6 +50,7 @@
         self.count = 0
         self.newer = False  # the other is the new one, and has asked
         self.serving = False  # the new one accepts; the old one hands over
+        self.stuck: Deadline | None = None  # runs while the other does not read
 
     @property
     def known(self) -> bool:
@@ -58,6 +59,24 @@
 
     def connectionMade(self) -> None:  # noqa: N802, D102
         self.handover.links.append(self)
+        self.transport.registerProducer(self, True)
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """See that the other does not read: what is written to it waits in memory, so it has so long."""
+        self.stuck = self.handover.deadlines.after(ANSWER, self.frozen)
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """See it read on."""
+        if self.stuck is not None:
+            self.stuck.cancel()
+
+    def stopProducing(self) -> None:  # noqa: N802, D102
+        pass
+
+    def frozen(self) -> None:
+        """Give up on a process that reads nothing: this one serves on by itself."""
+        self.handover.log.write("handover", "the other process does not read")
+        self.transport.abortConnection()
 
     def fileDescriptorReceived(self, descriptor: int) -> None:  # noqa: N802, D102
         self.came.append(descriptor)
@@ -118,6 +137,7 @@
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802, D102
         self.handover.links.remove(self)
+        self.resumeProducing()
         for fd in (*self.came, *self.sent):
             os.close(fd)
         for number in list(self.asked):
--- a/elderstall/settings.py
+++ b/elderstall/settings.py
@@ -41,7 +41,7 @@
         must_follow=conf.get("discovery") == "subscribe", ask_within=rules.get("ask_within") or 10_000.0,
         cold_share=rules.get("cold_share") or 1.0, cold_for=rules.get("cold") or 0.0,
         push_multiple=rules.get("fall_multiple") or 3.0, push_window=rules.get("overload_for") or 2_000.0,
-        drain_within=rules.get("stop_sending_within") or 2_000.0,
+        drain_within=rules.get("stop_sending_within") or conf.get("tick") or 1.0,  # none told: at once
         max_attempts=positive(limits.get("max_attempts", 1), "max_attempts"),
         cpu_us_per_s=limits.get("cpu_us_per_s") or 0.0,
         cpu_us_per_job=limits.get("cpu_us_per_request") or 0.0,
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -70,6 +70,7 @@
         self.callLater = self.clock.callLater
         self.listenTCP, self.connectTCP = reactor.listenTCP, reactor.connectTCP
         self.adoptStreamConnection = reactor.adoptStreamConnection
+        self.listenUNIX = reactor.listenUNIX
         self.stopped = False
 
     def callFromThread(self, call: Callable[[], None]) -> None:  # noqa: N802
@@ -82,7 +83,7 @@
 class Loopback(unittest.TestCase):
     """A dispatcher, its workers w1, w2 ... and discovery."""
 
-    def begin(self, workers: int = 1, progress: bool = False, **more: Any) -> None:
+    def begin(self, workers: int = 1, progress: bool = False, folder: str = "", **more: Any) -> None:
         self.listeners = [self.listener() for _ in range(workers)]
         self.lists = self.listener()
         raw = platform(workers, **more)
@@ -90,7 +91,7 @@
                                      for n, sock in enumerate(self.listeners)]
         raw["discovery"] = address_of(self.lists)
         self.raw = raw
-        config = config_of(raw, {})
+        config = config_of(raw, {"TMPDIR": folder})
         if progress:
             config = Config(**{**vars(config), "progress": Progress(enabled=True)})
         self.loop = Loop()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -4,6 +4,7 @@
 
 import json
 import socket
+import tempfile
 import unittest
 from typing import Any
 
@@ -317,6 +318,33 @@
         self.assertNotIn("127.0.0.1:1", self.app.discovery.addresses.values())
 
 
+class Upgrades(Loopback):
+    """A new process takes over, and then does nothing any more."""
+
+    def test_one_that_stops_to_read_is_given_up_and_what_waits_for_it_is_bounded(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            self.begin(folder=folder)
+            handover = self.app.handover
+            assert handover is not None
+            new = socket.socket(socket.AF_UNIX)
+            new.connect(handover.path)
+            for message in ({"m": "hello", "version": 1}, {"m": "got"}, {"m": "serving"}):
+                new.sendall(json.dumps(message).encode() + b"\n")
+                self.turn()
+            self.assertIsNotNone(handover.successor)
+            for n in range(2_000):  # as for each job that is taken meanwhile
+                handover.announce("id", id=f"{n}{'x' * 500}")
+            self.turn()
+            self.wait(5_100)
+            self.assertEqual([], handover.links)
+            side = self.client()  # this one serves again
+            side.send(self.job("a1"))
+            self.take("POST a1").send(http.response(202))
+            self.call_back("a1")
+            self.assertEqual(200, self.answer(side).status)
+            new.close()
+
+
 class Settings(Loopback):
     """The settings of another customer come amid the work for the one before."""
 
--- a/tests/test_pushed.py
+++ b/tests/test_pushed.py
@@ -5,7 +5,7 @@
 import unittest
 
 from elderstall.config import config_of
-from tests.scenario import platform
+from tests.scenario import RULES, platform
 
 
 class Pushed(unittest.TestCase):
@@ -16,5 +16,12 @@
         self.assertEqual((True, 1), (pushed.must_follow, pushed.callers))
 
 
+class Drains(unittest.TestCase):
+    def test_where_the_settings_give_no_time_nothing_is_sent_that_late_at_all(self) -> None:
+        """Not the 2 s of the first deployment."""
+        rules = {name: value for name, value in RULES.items() if name != "stop_sending_within"}
+        self.assertEqual(2.0, config_of(platform(rules=rules), {}).settings.drain_within)  # one tick
+
+
 if __name__ == "__main__":
     unittest.main()
