--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -232,6 +232,72 @@
         self.wait(700)
         self.assertTrue(self.loop.stopped)
 
+    def test_a_body_half_read_at_sigterm_is_taken_when_its_last_byte_comes(self) -> None:
+        self.begin()
+        side = self.client()
+        data = self.job("a1")
+        side.send(data[:-2])
+        self.turn()
+        self.app.sigterm()
+        self.wait(650)
+        side.send(data[-2:])
+        self.take("POST a1").send(http.response(202))
+        self.assertFalse(self.loop.stopped)
+        self.call_back("a1")
+        self.assertEqual(200, self.answer(side).status)
+
+    def test_a_worker_that_hangs_holds_neither_the_answer_nor_the_end(self) -> None:
+        self.begin()
+        old, new = self.client(), self.client()
+        old.send(self.job("a1", "deck-build", budget=900))
+        self.take("POST a1").send(http.response(202))
+        self.turn()
+        self.app.sigterm()
+        self.wait(800)
+        new.send(self.job("a2", "deck-build", budget=15_000))  # the one worker hangs: it is held
+        self.wait(150)
+        self.assertIn(self.answer(old).status, (502, 504))
+        self.wait(2_600)  # SIGKILL may come 3.7 s after SIGTERM, not before
+        self.assertIn(self.answer(new).status, (502, 503, 504))
+        new.sock.close()
+        self.wait(1_100)
+        self.assertTrue(self.loop.stopped)
+
+    def test_a_connection_still_coming_up_at_sigterm_carries_its_job(self) -> None:
+        self.begin()
+        self.held = []
+        side = self.client()
+        side.send(self.job("a1"))
+        self.until(lambda: bool(self.held))
+        self.app.sigterm()
+        self.wait(200)
+        self.let_up()
+        self.take("POST a1").send(http.response(202))
+        self.call_back("a1")
+        self.assertEqual(200, self.answer(side).status)
+
+    def test_an_answer_that_its_client_reads_slowly_is_not_cut_short(self) -> None:
+        self.begin()
+        side = self.client()
+        side.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2_048)
+        side.send(self.job("a1"))
+        self.take("POST a1").send(http.response(202))
+        c = next(c for c in self.app.server.connections if c.client)
+        c.transport.getHandle().setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2_048)
+        result = "x" * 60_000
+        call = {"id": "a1", "from": "w1", "state": "done", "result": result}
+        back = self.client()
+        back.send(http.request("POST", "/callback", "n1", (), json.dumps(call).encode()))
+        self.assertEqual(204, self.answer(back).status)
+        self.app.sigterm()
+        self.wait(2_500)  # clients were let go meanwhile, and this one has read nothing yet
+        self.assertFalse(self.loop.stopped)
+        self.assertEqual(result.encode(), self.answer(side).body)
+        self.until(lambda: side.read() or side.ended)  # type: ignore[func-returns-value]
+        side.sock.close()
+        self.wait(1_100)
+        self.assertTrue(self.loop.stopped)
+
     def test_a_call_back_after_the_last_client_has_gone_is_answered(self) -> None:
         self.begin()
         side = self.client()
