--- a/elderstall/net/server.py
+++ b/elderstall/net/server.py
@@ -153,6 +153,7 @@
         self.requests = 0
         self.reason = "peer-closed"
         self.timer: Deadline | None = None
+        self.looking: Deadline | None = None  # for its client's leaving, while nothing is read
         self.close_after = self.sent_away = False
         self.passing: int | None = None  # a copy of its descriptor, for the process that takes it over
         self.parcel: http.Message | None = None  # the request of the job that is out
@@ -232,17 +233,18 @@
         if full != self.paused and not self.closing:
             self.paused = full
             (self.transport.pauseProducing if full else self.transport.resumeProducing)()
-            if full:
-                self.server.deadlines.after(LOOK_AGAIN, self.look_for)
+            if full and self.looking is None:
+                self.looking = self.server.deadlines.after(LOOK_AGAIN, self.look_for)
 
     def look_for(self) -> None:
         """See that a client from which nothing is read has left: its end lies behind what it has sent."""
+        self.looking = None
         if self.paused and not self.closing:
             if left(self.transport):
                 self.reason = "client-gone"
                 self.transport.abortConnection()
             else:
-                self.server.deadlines.after(LOOK_AGAIN, self.look_for)
+                self.looking = self.server.deadlines.after(LOOK_AGAIN, self.look_for)
 
     def weigh(self) -> None:
         """Count the bytes kept, against the limit for requests that are not whole yet."""
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -147,6 +147,21 @@
         self.call_back("a1")
         for status in [200] * (1 + MUCH.count(b"GET")):
             self.assertEqual(status, self.answer(side).status)
+        self.assertFalse(c.paused)
+
+    def test_however_often_reading_pauses_one_look_is_due(self) -> None:
+        self.begin()
+        self.sent("a1", "deck-build")
+        self.turn()
+        c = next(c for c in self.app.server.connections if c.client)
+        self.assertTrue(c.paused)
+        before = self.app.deadlines.live
+        for _ in range(50):
+            c.paused = False
+            c.weigh()
+            c.step()
+        self.assertTrue(c.paused)
+        self.assertEqual(before, self.app.deadlines.live)
 
 
 class Restarts(Loopback):
