Tell a worker before a job whose 202 may have crossed our close goes elsewhere

Further: a 202 lying unread when Posted.silent fired (timers run before sockets); silence counted from when a connection was asked for, not from the last byte written, so one up at 240 ms of 250 was closed 10 ms later; half a 202, or one that cannot be read, taken for none; a start called back before the 202 and then a reset; returned told again after the job had gone back to that worker (core.detach kept no note of it); a 500 or 503 that is the second answer of what the connection carried before, which sent the next job out again while it ran.

Now: what has come unread is read first; silence counts from the last byte; a worker that said nothing gets DELETE before the job goes elsewhere, and 100 ms to answer it; one that had begun to answer or told of a start has to confirm it. An answer that ends a job on a connection used before ends that connection first. Ruled out: the late connections themselves (nothing is written to one whose attempt is over).

The older test of an answer that answers no job asks for the DELETE besides.

--- a/elderstall/core.py
+++ b/elderstall/core.py
@@ -73,6 +73,8 @@
     ending: Ending
     result: bytes = b""
     report: tuple[float, ...] = ()
+    unclear: bool = False  # the worker may have taken the job, unseen: it is told to give it up
+    spoke: bool = False  # it had begun to answer: without its word the job goes nowhere else
 
 
 @dataclass(slots=True)
@@ -121,8 +123,11 @@
         forbid it: asked where writing had to wait, before the first byte.
         """
 
-    def recall(self, worker: str, cid: str) -> Deferred[bool]:
-        """Give up an attempt that the worker has taken; fires with whether the worker was told."""
+    def recall(self, worker: str, cid: str, patient: bool = True) -> Deferred[bool]:
+        """Give up an attempt that the worker may have taken; fires with whether the worker was told.
+
+        Where it need not be told for the job to go on, the wait is short.
+        """
 
     def probe(self, worker: str) -> Deferred[Outcome]:
         """Ask a worker how it stands; fires with its report, or with how that failed."""
@@ -149,6 +154,7 @@
     sent: float
     ends: float
     taken: bool = False  # the worker has said that it has the job
+    told: bool = False  # it has said so by a call, whatever becomes of its connection
     sending: Deferred[Outcome | None] | None = None
     timer: Deadline | None = None
 
@@ -169,6 +175,7 @@
     closed: bool = False
     recalls: int = 0  # attempts given up whose worker has not yet confirmed it
     held_send: i.Send | None = None  # waits for these
+    to_tell: str | None = None  # a worker that said nothing, and is told to give up before the next attempt
     attempt: Attempt | None = None
     unsure: set[str] = field(default_factory=set)  # workers that may still speak of an earlier attempt
     guard: Deadline | None = None
@@ -387,7 +394,7 @@
             "cid": ask.cid, "cls": cls, "tenant": ask.tenant, "key": ask.key, "hint": ask.work_hint,
             "slots": ask.slots, "arrived": job.arrived, "deadline": job.deadline, "sent": job.sent,
             "ran": job.may_have_run, "ran_at": job.ran_at if job.may_have_run else None,
-            "unsure": sorted(job.unsure),
+            "unsure": sorted(job.unsure), "to_tell": job.to_tell,
             "attempt": None if a is None else [a.worker, a.sent, a.ends]}
         job.closed, job.attempt = True, None
         for timer in (job.guard, a.timer if a is not None else None):
@@ -408,7 +415,7 @@
         ask = Ask(state["cid"], cls.name, state["deadline"] - state["arrived"], parcel, state["tenant"],
                   state["key"], state["hint"], state["slots"], cls.effect is Effect.SAFE)
         job = Job(ask, client, cls, state["arrived"], state["deadline"], sent=state["sent"],
-                  may_have_run=state["ran"], unsure=set(state["unsure"]))
+                  may_have_run=state["ran"], unsure=set(state["unsure"]), to_tell=state.get("to_tell"))
         if job.may_have_run:  # a process of before this was told says nothing of when: at the earliest
             job.ran_at = state.get("ran_at") or job.arrived
         job.number = self.jobs.add(job)
@@ -554,6 +561,9 @@
         job = self.jobs.get(action.job)
         if job is None:
             return
+        if job.to_tell is not None:
+            worker, job.to_tell = job.to_tell, None
+            self.recall(job, worker, must=False)
         if job.recalls:
             job.held_send = action
             return
@@ -574,10 +584,21 @@
         a.sending.addCallback(self.carried, a).addErrback(self.broke, a)
 
     def carried(self, outcome: Outcome | None, a: Attempt) -> None:
-        """Take the carrier's word on an attempt."""
-        a.taken = True
-        if outcome is not None:
-            self.ended(a, outcome)
+        """Take the carrier's word on an attempt.
+
+        Guards against two copies: a connection that ended without a 202 gives the attempt up only if the
+        worker had not written it, which cannot always be seen. A start that it has told says that it has.
+        """
+        if outcome is None:
+            a.taken = True
+            return
+        if a.job.attempt is a and outcome.ending in (Ending.BROKEN, Ending.CUT):
+            if outcome.spoke or a.told:
+                a.taken = True
+                self.give_up(a, outcome.ending)
+                return
+            a.job.to_tell = a.worker if outcome.unclear else a.job.to_tell
+        self.ended(a, outcome)
 
     def broke(self, failure: Failure, a: Attempt) -> None:
         """Take an error in the carrier, which knows all outcomes; what it can't tell may have run."""
@@ -585,6 +606,11 @@
             self.log.failure("carrier", failure.value)
             self.ended(a, Outcome(Ending.BROKEN))
 
+    def called_on(self, a: Attempt, share: float, started: bool) -> None:
+        """Take a start or progress that a worker calls back about."""
+        a.told = True
+        self.noted(a, share, started=started)
+
     def noted(self, a: Attempt, share: float, text: str = "", started: bool = False) -> None:
         """Pass on the progress of a live attempt."""
         if a.job.attempt is a:
@@ -605,6 +631,7 @@
         if outcome.ending is not Ending.SERVED and a.worker in a.job.unsure:
             # Guards against two copies: this may be the late end of an earlier attempt at the same worker,
             # so the live one is given up before it counts as ended, and it may have run.
+            a.taken = True  # whether or not its 202 has come
             self.give_up(a, Ending.BROKEN)
         else:
             self.ended(a, outcome)
@@ -622,22 +649,27 @@
         if a.sending is not None:
             a.sending.cancel()
         if a.taken:
-            job.recalls += 1
-            self.carrier.recall(a.worker, job.ask.cid).addBoth(self.recalled, job)
+            self.recall(job, a.worker)
         self.feed(i.AttemptEnded(job.number, a.number, a.worker, ending, job.closed))
 
-    def recalled(self, told: object, job: Job) -> None:
+    def recall(self, job: Job, worker: str, must: bool = True) -> None:
+        """Tell a worker to give a job up; ``must``: without its word the job is not sent again."""
+        job.recalls += 1
+        self.carrier.recall(worker, job.ask.cid, must).addBoth(self.recalled, job, must)
+
+    def recalled(self, told: object, job: Job, must: bool) -> None:
         """Go on with a send that waited for the worker to be told.
 
         Guards against two copies: a worker that could not be told may still have the job.
         """
         job.recalls -= 1
-        action = job.held_send
-        if action is None or job.closed:
+        if job.closed:
             return
-        if told is not True:
-            self.close(job, Refused() if self.harmless(job) else Failed(), "not to be given up")
-        elif job.recalls == 0:
+        if must and told is not True:
+            self.feed(i.JobLeft(job.number))
+            if not job.closed:
+                self.close(job, Refused() if self.harmless(job) else Failed(), "not to be given up")
+        elif job.recalls == 0 and (action := job.held_send) is not None:
             job.held_send = None
             self.send(action)
 
@@ -650,7 +682,8 @@
             a.timer.cancel()
         if ending not in i.NEVER_RAN:
             job.may_have_run, job.ran_at = True, min(job.ran_at, a.sent)
-            job.unsure.add(a.worker)
+        if a.taken or ending not in i.NEVER_RAN:
+            job.unsure.add(a.worker)  # a job handed back is told of again until the call is answered
 
     def ended(self, a: Attempt, outcome: Outcome) -> None:
         """Take the end of an attempt; the first result is the job's answer."""
--- a/elderstall/net/server.py
+++ b/elderstall/net/server.py
@@ -684,7 +684,7 @@
         if state in ("started", "running"):
             share = call.get("share")
             done = float(share) if isinstance(share, int | float) and 0 <= share <= 1 else 0.0
-            self.core.noted(attempt, done, started=state == "started")
+            self.core.called_on(attempt, done, state == "started")
         elif state in ENDINGS:
             result = call.get("result", "")
             text = result if isinstance(result, str) else json.dumps(result)
--- a/elderstall/net/sse.py
+++ b/elderstall/net/sse.py
@@ -21,7 +21,7 @@
 from elderstall.interface import Ending
 from elderstall.net import http
 from elderstall.net.server import RequestError, Server, ServerConnection
-from elderstall.net.workers import Pool, Posted, Workers
+from elderstall.net.workers import Carriage, Pool, Posted, Workers
 
 MEDIA_TYPE = "text/event-stream"
 EVENT_MOST = http.MAX_BODY  # characters of one event, as of one body
@@ -176,7 +176,7 @@
         if not self.ended:
             self.ended = True
             if self.events is not None:
-                self.workers.deadlines.after(AFTER_RESULT, lambda: self.stop())
+                self.workers.deadlines.after(AFTER_RESULT, self.stop)
             super().over(outcome)
 
     def done(self) -> None:
@@ -186,27 +186,27 @@
         else:
             super().done()
 
-    def broke(self, ending: Ending) -> None:
+    def broke(self, ending: Ending, spoke: bool = False) -> None:
         """Take the connection's end: once a stream has begun, its job may have run."""
         if self.events is not None:
             self.over(Outcome(Ending.BROKEN))
         else:
-            super().broke(ending)
+            super().broke(ending, spoke)
 
 
 class StreamWorkers(Workers):
     """The carrier that asks workers for streams."""
 
     def begin(self, pool: Pool, ask: Ask, budget: float, note: Callable[[float, str], None],
-              barred: Callable[[], str | None], done: Deferred[Outcome | None]) -> Callable[[], Ending]:
+              barred: Callable[[], str | None], done: Deferred[Outcome | None]) -> Carriage:
         """Start the exchange of a job; its body is passed on as it comes, so no limit holds for the whole.
 
         A stream may begin with the job's start, so its worker's first word is waited for to the deadline.
         """
         exchange = Streamed(self, done, barred, note)
         request = self.job_request(ask, pool.address, budget, MEDIA_TYPE)
-        exchange.stop = pool.begin(request, exchange, 0, ask.repeatable)
-        return exchange.stop
+        exchange.carriage = pool.begin(request, exchange, 0, ask.repeatable)
+        return exchange.carriage
 
 
 # ---- the client's side ----
--- a/elderstall/net/workers.py
+++ b/elderstall/net/workers.py
@@ -30,6 +30,7 @@
 ANSWER_FOR = 1_000.0  # ms in which an answer that has begun with a 202 has to end
 RECALL_WAIT = 2_000.0  # ms that a DELETE may take; its worker may have vanished
 ACCEPT_WAIT = 4.0  # connect time-outs within which a worker says that it has a job, else the path is dead
+TELL_WAIT = 0.4  # connect time-outs that a worker which has said nothing has to hear of that
 ACCEPT_SOON = 1.0  # the same for jobs that may be sent again: a wrong guess only costs work
 STALE_WITHIN = 50.0  # ms: a reused connection that breaks this soon after a request was gone before it
 KEEP_LEAST = 20.0  # ms that a free connection is kept in any case, for what follows at once
@@ -61,8 +62,15 @@
     def written(self) -> None:
         """Learn that the request's last byte was written."""
 
-    def broke(self, ending: Ending) -> None:
-        """Take the connection's end before that: unreachable if the request's last byte was not written."""
+    def broke(self, ending: Ending, spoke: bool = False) -> None:
+        """Take the connection's end before that: unreachable if the request's last byte was not written.
+
+        ``spoke``: the worker had begun to answer.
+        """
+
+    @property
+    def ends_it(self) -> bool:
+        """Whether the answer, if it is another request's, would undo this one: then its connection ends."""
 
 
 @implementer(IPullProducer)
@@ -84,6 +92,7 @@
         self.began = 0.0  # when its request was handed over
         self.rested: float | None = None  # when it became free, if it was used before
         self.unused_for = 0.0  # ms that it was free before this request
+        self.answered: Exchange | None = None  # hears of its answer's end when the connection has ended
 
     def connectionMade(self) -> None:  # noqa: N802, D102
         self.transport.setTcpNoDelay(True)
@@ -139,11 +148,20 @@
         else:
             # Idle before the exchange hears of it, so that what it sends next finds this connection.
             self.exchange = None
-            if self.reusable and self.written and self.parser.idle:
+            doubtful = self.rested is not None and exchange.ends_it
+            if self.reusable and self.written and self.parser.idle and not doubtful:
                 self.pool.rest(self)
+                exchange.done()
             else:
+                # Guards against two copies: the answer may be the second one to what this connection carried
+                # before. Once it is closed the attempt is given up in any case, and may be told as ended.
+                self.answered = exchange
                 self.drop("worker-close")
-            exchange.done()
+
+    @property
+    def spoke(self) -> bool:
+        """Whether the worker has begun to say something that is not read to its end."""
+        return not self.parser.idle or unread(self.transport)
 
     @property
     def quick(self) -> bool:
@@ -170,13 +188,17 @@
         self.pool.workers.ending.discard(self)
         self.pool.forget(self)
         exchange, self.exchange = self.exchange, None
+        answered, self.answered = self.answered, None
         self.pool.workers.log.ended("worker", self.number, self.reason, self.pool.name)
+        if answered is not None:
+            answered.done()
         if exchange is not None:
             if self.parser.eof() is not None:
                 exchange.done()
             else:
                 self.pool.workers.broke_off(self)
-                exchange.broke(self.broken_as(self.quick))
+                spoke = self.reason == "bad-answer" or not self.parser.idle
+                exchange.broke(self.broken_as(self.quick), spoke)
 
 
 class Pool(Factory):
@@ -229,12 +251,12 @@
                 self.retire(connection)
 
     def begin(self, request: bytes, exchange: Exchange, max_body: int = http.MAX_BODY,
-              repeatable: bool = True) -> Callable[[], Ending]:
+              repeatable: bool = True) -> Carriage:
         """Send a request over the newest idle connection, or a new one; gives what calls it off.
 
-        That in turn says how it then ends. No request is ever written twice: a connection
-        that breaks tells the exchange, and that is all.
+        No request is ever written twice: a connection that breaks tells the exchange, and that is all.
         """
+        carriage = Carriage(exchange)
         self.doubt(self.workers.keep)  # it may have been cut since they came to rest
         while self.idle and (repeatable or not self.workers.new_safer):
             connection = self.idle.pop()
@@ -244,19 +266,19 @@
                 # written to it, so nothing can have run there.
                 connection.drop("worker-closed")
                 continue
+            carriage.connection = connection
             connection.start(request, exchange, max_body)
-            return lambda: self.call_off(connection, exchange)
+            return carriage
         if not self.workers.room_for_one():
             self.workers.log.write("limit", f"no descriptor for a connection to {self.name}")
             exchange.broke(Ending.UNREACHABLE)
-            return lambda: Ending.UNREACHABLE
-        state: dict[str, WorkerConnection] = {}
+            return carriage
         self.workers.opening += 1
-        connecting = self.workers.connect(self.address, self)
+        carriage.connecting = connecting = self.workers.connect(self.address, self)
 
         def up(connection: WorkerConnection) -> None:
             self.workers.opening -= 1
-            state["up"] = connection
+            carriage.connection = connection
             if (why := exchange.barred()) is not None:
                 self.workers.log.write("rule", f"nothing written to {self.name}, up late: {why}")
                 self.rest(connection)
@@ -274,22 +296,37 @@
             self.workers.log.failure("exchange", failure.value)
 
         connecting.addCallbacks(up, down).addErrback(bug)
+        return carriage
 
-        def cancel() -> Ending:
-            if "up" in state:
-                return self.call_off(state["up"], exchange)
-            connecting.cancel()
-            return Ending.UNREACHABLE
 
-        return cancel
+class Carriage:
+    """One request on its way: over a connection, or waiting for one to come up."""
+
+    def __init__(self, exchange: Exchange) -> None:
+        self.exchange = exchange
+        self.connection: WorkerConnection | None = None
+        self.connecting: Deferred[WorkerConnection] | None = None
+
+    @property
+    def spoke(self) -> bool:
+        """Whether the worker has begun to answer, as far as that can be seen without waiting."""
+        c = self.connection
+        return c is not None and (c.answered is self.exchange or c.exchange is self.exchange and c.spoke)
 
-    def call_off(self, connection: WorkerConnection, exchange: Exchange) -> Ending:
-        """Close the connection if it still carries the exchange; say how that ends."""
-        if connection.exchange is not exchange:
+    def call_off(self) -> Ending:
+        """Close the connection if it still carries the request; say how that ends.
+
+        The reactor closes it in its next turn: what is written to another one in this turn goes first.
+        """
+        if self.connection is None:
+            if self.connecting is not None:
+                self.connecting.cancel()
+            return Ending.UNREACHABLE
+        if self.connection.exchange is not self.exchange:
             return Ending.BROKEN
-        connection.exchange = None
-        connection.drop("given-up")
-        return connection.broken_as(gone=True)
+        self.connection.exchange = None
+        self.connection.drop("given-up")
+        return self.connection.broken_as(gone=True)
 
 
 class Posted:
@@ -302,27 +339,55 @@
         self.workers, self.fired, self.message = workers, done, http.Message((1, 1), http.Headers())
         self.barred = barred
         self.timer: Deadline | None = None
-        self.stop: Callable[[], Ending] = lambda: Ending.UNREACHABLE  # calls it off
+        self.within = 0.0  # ms for the worker's word once all is written; 0: to the deadline
+        self.carriage: Carriage | None = None
+        self.sent = False  # all of it is written
+        self.again = False  # silence has been looked into once
 
-    def expect(self, pool: Pool, within: float, cancel: Callable[[], Ending]) -> Callable[[], Ending]:
+    @property
+    def ends_it(self) -> bool:
+        """Whether the answer is other than a 202: it frees the job to go elsewhere."""
+        return self.message.status in (500, 503, 504)
+
+    def expect(self, carriage: Carriage, within: float) -> None:
         """Wait for the worker's word only as long as one on a living path takes.
 
         Guards against a connection that fell silent: its job would hang to its deadline, and hold its worker.
+        The time counts from the request's last byte; until that is written there is the connect time besides.
         """
-        def silent() -> None:
-            if not self.fired.called:
-                self.workers.log.write("silent", f"{pool.name} does not answer a job")
-                pool.doubt()  # what is free there may be as dead
-                self.broke(cancel())
-
-        self.stop = cancel
+        self.carriage, self.within = carriage, within
         if not self.fired.called:
-            self.timer = self.workers.deadlines.after(within, silent)
-        return cancel
+            self.wait(within if self.sent else within + self.workers.connect_for)
+
+    def wait(self, within: float) -> None:
+        """Have the worker's silence count from now."""
+        if self.timer is not None:
+            self.timer.cancel()
+        self.timer = self.workers.deadlines.after(within, self.silent)
+
+    def silent(self) -> None:
+        """Give the attempt up, unless the worker has begun to answer: that is read first."""
+        if self.fired.called or self.carriage is None:
+            return
+        spoke = self.carriage.spoke
+        if spoke and not self.again:
+            self.again = True
+            self.wait(self.within)
+            return
+        self.workers.silent(self.carriage)
+        self.over(Outcome(self.carriage.call_off(), unclear=True, spoke=spoke))
+
+    def stop(self) -> None:
+        """Close the connection."""
+        if self.carriage is not None:
+            self.carriage.call_off()
 
     def written(self) -> None:
         """Count the attempt."""
         self.workers.wrote()
+        self.sent = True
+        if self.within and not self.fired.called:
+            self.wait(self.within)
 
     def over(self, outcome: Outcome | None) -> None:
         """Give the outcome."""
@@ -344,7 +409,7 @@
             # The worker has it from here on, and to close its connection does not give the attempt up any
             # more, whether or not the answer ever ends.
             self.over(None)
-            self.timer = self.workers.deadlines.after(ANSWER_FOR, lambda: self.stop())
+            self.timer = self.workers.deadlines.after(ANSWER_FOR, self.stop)
 
     def data(self, data: bytes) -> None:
         """Bodies say nothing here."""
@@ -356,17 +421,19 @@
         elif self.timer is not None:
             self.timer.cancel()
 
-    def broke(self, ending: Ending) -> None:
+    def broke(self, ending: Ending, spoke: bool = False) -> None:
         """Take the connection's end; after the 202 it says nothing of the job."""
         if self.timer is not None:
             self.timer.cancel()
         if self.message.status != 202:
-            self.over(Outcome(ending))
+            self.over(Outcome(ending, unclear=spoke, spoke=spoke))
 
 
 class Recalled:
     """The exchange of a DELETE: any answer will do."""
 
+    ends_it = False
+
     def __init__(self, done: Deferred[bool]) -> None:
         self.fired = done
 
@@ -387,7 +454,7 @@
         """Take the end: the worker knows."""
         self.over(True)
 
-    def broke(self, ending: Ending) -> None:
+    def broke(self, ending: Ending, spoke: bool = False) -> None:
         """Take the connection's end."""
         self.over(False)
 
@@ -400,6 +467,8 @@
 class Asked:
     """The exchange of a question how a worker stands."""
 
+    ends_it = False
+
     def __init__(self, workers: Workers, done: Deferred[Outcome]) -> None:
         self.workers, self.fired, self.status, self.body = workers, done, 0, bytearray()
 
@@ -428,7 +497,7 @@
                 self.workers.log.write("bad-answer", "a load report that cannot be read")
         self.over(Outcome(Ending.SERVED if self.status == 200 else Ending.FULL, report=report))
 
-    def broke(self, ending: Ending) -> None:
+    def broke(self, ending: Ending, spoke: bool = False) -> None:
         """Take the connection's end."""
         self.over(Outcome(ending))
 
@@ -564,28 +633,39 @@
              barred: Callable[[], str | None]) -> Deferred[Outcome | None]:
         """Send a job; see ``core.Carrier``."""
         pool = self.pools.get(worker)
-        stop: list[Callable[[], Ending]] = []
+        under_way: list[Carriage] = []
 
         def canceller(_: object) -> None:
-            for call_off in stop:
-                call_off()
+            for carriage in under_way:
+                spoke = carriage.spoke
+                carriage.call_off()
+                if spoke:
+                    done.callback(None)  # it may be the 202 that has come: then the worker has the job
 
         done: Deferred[Outcome | None] = Deferred(canceller)
         if pool is None:
             done.callback(Outcome(Ending.UNREACHABLE))
             return done
-        stop.append(self.begin(pool, ask, budget, note, barred, done))
+        under_way.append(self.begin(pool, ask, budget, note, barred, done))
         return done
 
     def begin(self, pool: Pool, ask: Ask, budget: float, note: Callable[[float, str], None],
-              barred: Callable[[], str | None], done: Deferred[Outcome | None]) -> Callable[[], Ending]:
+              barred: Callable[[], str | None], done: Deferred[Outcome | None]) -> Carriage:
         """Start the exchange of a job."""
         exchange = Posted(self, done, barred)
         within = self.connect_for * (ACCEPT_SOON if ask.repeatable else ACCEPT_WAIT)
         request = self.job_request(ask, pool.address, budget)
-        return exchange.expect(pool, within, pool.begin(request, exchange, repeatable=ask.repeatable))
+        carriage = pool.begin(request, exchange, repeatable=ask.repeatable)
+        exchange.expect(carriage, within)
+        return carriage
+
+    def silent(self, carriage: Carriage) -> None:
+        """Learn that a worker says nothing to a request."""
+        if (connection := carriage.connection) is not None:
+            self.log.write("silent", f"{connection.pool.name} does not answer a job")
+            connection.pool.doubt()  # what is free there may be as dead
 
-    def recall(self, worker: str, cid: str) -> Deferred[bool]:
+    def recall(self, worker: str, cid: str, patient: bool = True) -> Deferred[bool]:
         """Tell a worker to give up a job that it has taken; see ``core.Carrier``."""
         done: Deferred[bool] = Deferred()
         pool = self.pools.get(worker)
@@ -593,13 +673,13 @@
             done.callback(False)
             return done
         exchange = Recalled(done)
-        cancel = pool.begin(http.request("DELETE", f"/jobs/{quote(cid, safe='')}", pool.address), exchange)
+        carriage = pool.begin(http.request("DELETE", f"/jobs/{quote(cid, safe='')}", pool.address), exchange)
 
         def waited() -> None:
-            cancel()
+            carriage.call_off()
             exchange.over(False)
 
-        timer = self.deadlines.after(RECALL_WAIT, waited)
+        timer = self.deadlines.after(RECALL_WAIT if patient else self.connect_for * TELL_WAIT, waited)
 
         def over(told: bool) -> bool:
             timer.cancel()
@@ -615,10 +695,10 @@
             done.callback(Outcome(Ending.UNREACHABLE))
             return done
         exchange = Asked(self, done)
-        cancel = pool.begin(http.request("GET", LOAD, pool.address), exchange)
+        carriage = pool.begin(http.request("GET", LOAD, pool.address), exchange)
 
         def silent() -> None:
-            cancel()
+            carriage.call_off()
             pool.doubt()  # what is free there may be as dead
             exchange.broke(Ending.TIMED_OUT)
 
--- a/elderstall/rehearsal/wire.py
+++ b/elderstall/rehearsal/wire.py
@@ -231,7 +231,7 @@
             errand.begin()
         return errand.done
 
-    def recall(self, worker: str, cid: str) -> Deferred[bool]:
+    def recall(self, worker: str, cid: str, patient: bool = True) -> Deferred[bool]:
         """Tell a worker to give an attempt up."""
         done: Deferred[bool] = Deferred()
         errand = self.errands.get(cid)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -32,7 +32,7 @@
         self.sent.append((worker, done))
         return done
 
-    def recall(self, worker: str, cid: str) -> Deferred[bool]:
+    def recall(self, worker: str, cid: str, patient: bool = True) -> Deferred[bool]:
         self.recalls.append(Deferred())
         return self.recalls[-1]
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -549,6 +549,9 @@
         side.send(self.job("a1"))
         worker = self.take("POST a1")
         worker.send(http.response(200, b'{"cpu_share": 0.1, "x0": 2}'))
+        self.turn()
+        self.assertEqual(["DELETE /jobs/a1"], [what for what, _ in self.came()])  # its 202 may come yet
+        self.take("DELETE /jobs/a1").send(http.response(200))
         self.take("POST a1").send(http.response(202))
         self.turn()
         worker.read()
