Tell no worker to give a job up where the settings have no such word

limits.cancel of the settings was read by nothing: a deployment that turns it off had DELETE sent to its workers all the same (core.give_up). Now none is sent there; a job that a worker may have is not sent again, as where it could not be told, and SIGHUP changes it for jobs under way. Where the key is missing the word stands, as the protocol has it without condition.

Three tests, each fails with the setting not read (seen).

--- a/elderstall/core.py
+++ b/elderstall/core.py
@@ -433,7 +433,7 @@
 
     def abandon(self, state: dict[str, Any]) -> None:
         """Give up the attempt of a job that moves, as its client is gone."""
-        if state["attempt"] is not None:
+        if state["attempt"] is not None and self.s.cancels:
             self.carrier.recall(state["attempt"][0], state["cid"])
 
     def knows(self, cid: str) -> bool:
@@ -655,7 +655,10 @@
     def recall(self, job: Job, worker: str, must: bool = True) -> None:
         """Tell a worker to give a job up; ``must``: without its word the job is not sent again."""
         job.recalls += 1
-        self.carrier.recall(worker, job.ask.cid, must).addBoth(self.recalled, job, must)
+        if self.s.cancels:
+            self.carrier.recall(worker, job.ask.cid, must).addBoth(self.recalled, job, must)
+        else:  # the settings have no such word: as if it could not be told
+            self.deadlines.after(0.0, self.recalled, False, job, must)
 
     def recalled(self, told: object, job: Job, must: bool) -> None:
         """Go on with a send that waited for the worker to be told.
--- a/elderstall/interface.py
+++ b/elderstall/interface.py
@@ -125,6 +125,7 @@
     crossing_price: float = 0.0
     fetch_price: float = 0.0
     probes: bool = False  # whether workers may be asked how they stand
+    cancels: bool = True  # whether workers may be told to give a job up
     pulled: bool = False  # whether they tell it only then, not with their answers
 
     @property
--- a/elderstall/settings.py
+++ b/elderstall/settings.py
@@ -48,4 +48,5 @@
         connect_timeout=limits.get("connect_timeout") or 0.0, tells_start=bool(extras.get("tells_start")),
         report_free_slots=fields.index(free) if free else None, tick=conf.get("tick") or 1.0,
         crossing_price=fees.get("cross_zone") or 0.0, fetch_price=fees.get("origin") or 0.0,
-        probes=bool(limits.get("probes")), pulled=(conf.get("load_report") or {}).get("source") == "pull")
+        probes=bool(limits.get("probes")), cancels=bool(limits.get("cancel", True)),
+        pulled=(conf.get("load_report") or {}).get("source") == "pull")
--- a/tests/test_second_copies.py
+++ b/tests/test_second_copies.py
@@ -228,6 +228,42 @@
         c.transport.connectionLost(CLOSED)  # the reactor comes to the client first
         self.take("DELETE /jobs/a1")
 
+    # ---- settings under which no worker is told to give a job up ----
+
+    def forbid(self) -> None:
+        """Take settings, amid the work, whose `limits.cancel` is false: another customer's."""
+        settings = self.raw["settings"]
+        self.raw["settings"] = {**settings, "limits": {**settings["limits"], "cancel": False}}
+        self.app.sighup()
+        self.turn()
+
+    def test_there_a_job_that_a_worker_may_have_goes_nowhere_else(self) -> None:
+        self.begin()
+        side, worker = self.out()
+        self.forbid()
+        worker.send(TAKEN[:20])
+        self.wait(600)
+        self.assertEqual(503, self.answer(side).status)
+        self.nothing()
+
+    def test_there_one_that_a_silent_worker_had_goes_on_once_its_connection_is_closed(self) -> None:
+        self.begin()
+        self.kept()
+        side, worker = self.out()
+        self.forbid()
+        self.jump(255)
+        self.served(side, self.at_most_one(worker))
+
+    def test_there_a_client_that_leaves_has_no_worker_told(self) -> None:
+        self.begin()
+        side, worker = self.out()
+        worker.send(TAKEN)
+        self.turn()
+        self.forbid()
+        side.sock.close()
+        self.nothing()
+        self.assertNotIn("a1", self.app.core.by_cid)
+
 
 if __name__ == "__main__":
     unittest.main()
