Take a job handed back before its 202 for one whose call-back may come again

The call's repeat then ended the next attempt at that worker while it ran (core.called_back left taken unset, so detach kept no note of the worker). The test fails with the mend out (seen).

--- a/elderstall/core.py
+++ b/elderstall/core.py
@@ -628,10 +628,10 @@
 
     def called_back(self, a: Attempt, outcome: Outcome) -> None:
         """Take the end that a worker tells of an attempt."""
+        a.taken = True  # whether or not its 202 has come: the call may be made again
         if outcome.ending is not Ending.SERVED and a.worker in a.job.unsure:
             # Guards against two copies: this may be the late end of an earlier attempt at the same worker,
             # so the live one is given up before it counts as ended, and it may have run.
-            a.taken = True  # whether or not its 202 has come
             self.give_up(a, Ending.BROKEN)
         else:
             self.ended(a, outcome)
--- a/tests/test_second_copies.py
+++ b/tests/test_second_copies.py
@@ -177,16 +177,21 @@
 
     def test_a_return_told_again_after_the_job_came_back_to_that_worker_ends_nothing_untold(self) -> None:
         """Until a call is answered it is tried again, ten times: the repeat may meet the next attempt."""
-        self.begin(workers=1)
-        side, worker = self.out()
-        worker.send(TAKEN)
-        self.turn()
-        self.call_back("a1", "returned")
-        self.in_time().send(TAKEN)
-        self.turn()
-        self.call_back("a1", "returned")
-        self.given_up(worker)
-        self.served(side, self.in_time())
+        for early in (False, True):  # the call before the 202
+            with self.subTest(early=early):
+                self.begin(workers=1)
+                side, worker = self.out()
+                for what in (None, TAKEN) if early else (TAKEN, None):
+                    if what is not None:
+                        worker.send(what)
+                        self.turn()
+                    else:
+                        self.call_back("a1", "returned")
+                self.in_time().send(TAKEN)
+                self.turn()
+                self.call_back("a1", "returned")
+                self.given_up(worker)
+                self.served(side, self.in_time())
 
     # ---- what is closed, and when ----
 
