Let SIGHUP end no dispatcher that is still starting, and lose no new configuration

A dispatcher told to read its configuration anew while it still started ended with the signal's default action, as a crash: its handler was set only after imports (0.5 s) and the first reading (cli/run.py). Forced with a pipe in the file's place, which holds the program at its reading.

Also: a word that is not true or false for limits.probes, limits.cancel, specifics.tells_start or a class's streamed ends the program with status 2 and the key ("no" counted for yes); a file nested past the reader's depth too (it was a traceback and status 1).

The tests fail with the mends out (seen, 5 checks).

--- a/elderstall/__main__.py
+++ b/elderstall/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 
 DISPATCHER = ("run", "check")  # the words that ``cli/run.py`` knows
@@ -12,6 +13,8 @@
     words = sys.argv[1:] if argv is None else argv
     if not words or words[0].startswith("-") or words[0] in DISPATCHER:
         # A dispatcher loads none of the tools, nor their libraries: its start and memory are the platform's.
+        # What is to be read anew has not been read yet: SIGHUP would end a program that is still starting.
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
         from elderstall.cli.run import main as run
 
         return run(words)
--- a/elderstall/cli/run.py
+++ b/elderstall/cli/run.py
@@ -26,6 +26,8 @@
     parser.add_argument("--front", metavar="FILE",
                         help="an operator's file for the progress front (default: $ELDERSTALL_FRONT)")
     args = parser.parse_args(argv)
+    early: list[int] = []  # signals to read the configuration again that come from its first reading on
+    signal.signal(signal.SIGHUP, lambda number, _: early.append(number))
     try:
         config = load(args.config, os.environ, args.front)
     except ConfigError as error:
@@ -41,6 +43,8 @@
     signal.signal(signal.SIGTERM, app.sigterm)
     signal.signal(signal.SIGINT, app.sigterm)
     signal.signal(signal.SIGHUP, app.sighup)
+    if early:
+        app.sighup()
 
     def observe(event: LogEvent) -> None:
         if "log_failure" in event:
--- a/elderstall/config.py
+++ b/elderstall/config.py
@@ -225,6 +225,6 @@
         raise ConfigError("RELAY_CONFIG: is not set, and no --config was given")
     try:
         raw = json.loads(Path(path).read_text(encoding="utf-8"), parse_constant=no_number)
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         raise ConfigError(f"RELAY_CONFIG: {path}: {error}") from None
     return config_of(raw, env, front or env.get("ELDERSTALL_FRONT"))
--- a/elderstall/settings.py
+++ b/elderstall/settings.py
@@ -17,6 +17,14 @@
     return value
 
 
+def flag(fields: Fields, name: str, default: bool = False) -> bool:
+    """Read a yes or no; what is neither is turned down, as a word like "no" would count for a yes."""
+    value = fields.get(name)
+    if value is not None and not isinstance(value, bool):
+        raise ValueError(f"{name}: {value!r} is not true or false")
+    return default if value is None else value
+
+
 def settings_of(conf: Fields) -> i.Settings:
     """Build the settings from the wire's; keys that are not known here are ignored."""
     rules, limits = conf.get("rules") or {}, conf.get("limits") or {}
@@ -31,7 +39,7 @@
             name=c["name"], worth=c["points"], aim=c["aim"], deadline=positive(c["deadline"], "deadline"),
             effect=i.Effect(c["effect"]), scope=i.Scope(c.get("key_scope") or "all"),
             memory_span=c.get("memory_span") or 0.0, stretch=stretch, late_share=c.get("late_share") or 0.0,
-            kind=kinds[kind] if 0 <= kind < len(kinds) else None, streamed=bool(c.get("streamed"))))
+            kind=kinds[kind] if 0 <= kind < len(kinds) else None, streamed=flag(c, "streamed")))
     free = next((f for f in ("x0", "x1") if f in fields and extras.get(f"report_{f}") == "free slots"), None)
     return i.Settings(
         classes=tuple(classes),
@@ -45,8 +53,8 @@
         max_attempts=positive(limits.get("max_attempts", 1), "max_attempts"),
         cpu_us_per_s=limits.get("cpu_us_per_s") or 0.0,
         cpu_us_per_job=limits.get("cpu_us_per_request") or 0.0,
-        connect_timeout=limits.get("connect_timeout") or 0.0, tells_start=bool(extras.get("tells_start")),
+        connect_timeout=limits.get("connect_timeout") or 0.0, tells_start=flag(extras, "tells_start"),
         report_free_slots=fields.index(free) if free else None, tick=conf.get("tick") or 1.0,
         crossing_price=fees.get("cross_zone") or 0.0, fetch_price=fees.get("origin") or 0.0,
-        probes=bool(limits.get("probes")), cancels=bool(limits.get("cancel", True)),
+        probes=flag(limits, "probes"), cancels=flag(limits, "cancel", True),
         pulled=(conf.get("load_report") or {}).get("source") == "pull")
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -13,12 +13,13 @@
 import sys
 import tempfile
 import threading
+import tomllib
 import unittest
 from pathlib import Path
 from typing import Any
 
 from elderstall.net import http
-from tests.scenario import entry, platform
+from tests.scenario import CLASSES, entry, platform
 
 ROOT = Path(__file__).parent.parent
 PATIENCE = 30.0  # s: only a program that hangs meets it
@@ -262,8 +263,42 @@
         self.assertEqual(204, self.ask(self.job("drop", "deck-build", 20_000, wants)).status)
         self.assertEqual(1, self.calls.count("POST drop"))
 
+    def test_sighup_while_the_first_configuration_is_read_ends_nothing_and_is_not_lost(self) -> None:
+        """A pipe in the file's place holds the program at its first reading, and at its second."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = os.path.join(folder, "config.json")
+            os.mkfifo(path)
+            program = subprocess.Popen(
+                [sys.executable, "-m", "elderstall", "--config", path], cwd=ROOT,
+                env={**os.environ, "TMPDIR": folder}, stderr=subprocess.PIPE, text=True)
+            self.addCleanup(self.end, program)
+            assert program.stderr is not None
+            for classes, last in ((CLASSES, " start "), ([{**CLASSES[0], "name": "scan"}], "classes are ")):
+                raw = platform() | {"listen": "127.0.0.1:0", "discovery": self.discovery.address}
+                raw["settings"]["classes"] = classes
+                with open(path, "w") as pipe:  # opens once the program reads
+                    if classes is CLASSES:
+                        program.send_signal(signal.SIGHUP)
+                    pipe.write(json.dumps(raw))
+                line = ""
+                while last not in line:
+                    line = program.stderr.readline()
+                    self.assertTrue(line, "the program ended")
+            self.assertIn("classes are scan;", line)
+
+    def test_by_the_deploy_file_sighup_ends_no_dispatcher_before_its_first_line_has_run(self) -> None:
+        run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+        with tempfile.TemporaryDirectory() as folder:
+            python = Path(folder, ".venv", "bin", "python")
+            python.parent.mkdir(parents=True)
+            python.write_text("#!/bin/sh\nexec grep SigIgn /proc/self/status\n")
+            python.chmod(0o755)
+            said = subprocess.run(["sh", "-c", run], cwd=folder, capture_output=True, text=True, check=True)
+        self.assertTrue(int(said.stdout.split()[1], 16) & 1 << (signal.SIGHUP - 1))
+
     def test_faulty_configuration_ends_with_the_key(self) -> None:
-        cases = {"{}": "settings", '{"settings": {"classes": 3}}': "settings", "{": "RELAY_CONFIG"}
+        cases = {"{}": "settings", '{"settings": {"classes": 3}}': "settings", "{": "RELAY_CONFIG",
+                 "[" * 20_000: "RELAY_CONFIG"}
         for text, key in cases.items():
             read, write = os.pipe()
             os.write(write, text.encode())
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -117,6 +117,11 @@
             with self.subTest(key=key, value=value):
                 self.retune(classes)
                 self.assertEqual({"deck-fetch", "deck-build"}, set(self.world.app.core.classes))
+        for name in ("probes", "cancel"):
+            with self.subTest(name), self.assertRaisesRegex(ConfigError, name):
+                raw = platform()
+                raw["settings"]["limits"][name] = "no"
+                config_of(raw, {})
         for attempts in (0, -1, "3", None, 1e999):
             self.world.raw = copy.deepcopy(good)
             with self.subTest(attempts=attempts):
