--- a/elderstall/core.py
+++ b/elderstall/core.py
@@ -592,10 +592,11 @@
         if outcome is None:
             a.taken = True
             return
-        if a.job.attempt is a and outcome.ending in (Ending.BROKEN, Ending.CUT):
-            if outcome.spoke or a.told:
+        if a.job.attempt is a:
+            broken = outcome.ending in (Ending.BROKEN, Ending.CUT)
+            if outcome.spoke or broken and a.told:
                 a.taken = True
-                self.give_up(a, outcome.ending)
+                self.give_up(a, outcome.ending if broken else Ending.BROKEN)
                 return
             a.job.to_tell = a.worker if outcome.unclear else a.job.to_tell
         self.ended(a, outcome)
--- a/elderstall/net/sse.py
+++ b/elderstall/net/sse.py
@@ -179,12 +179,12 @@
                 self.workers.deadlines.after(AFTER_RESULT, self.stop)
             super().over(outcome)
 
-    def done(self) -> None:
+    def done(self, unclear: bool = False, spoke: bool = False) -> None:
         """Take the answer's end: a stream that ends without a result was broken off."""
         if self.events is not None:
             self.over(Outcome(Ending.BROKEN))
         else:
-            super().done()
+            super().done(unclear, spoke)
 
     def broke(self, ending: Ending, spoke: bool = False) -> None:
         """Take the connection's end: once a stream has begun, its job may have run."""
--- a/elderstall/net/workers.py
+++ b/elderstall/net/workers.py
@@ -4,6 +4,7 @@
 
 import json
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 from typing import Protocol as Shape
 from urllib.parse import quote
@@ -56,8 +57,8 @@
     def data(self, data: bytes) -> None:
         """Take bytes of its body."""
 
-    def done(self) -> None:
-        """Take its end."""
+    def done(self, unclear: bool = False, spoke: bool = False) -> None:
+        """Take its end; ``unclear``: it may be another request's, ``spoke``: with this one's behind it."""
 
     def written(self) -> None:
         """Learn that the request's last byte was written."""
@@ -93,6 +94,7 @@
         self.rested: float | None = None  # when it became free, if it was used before
         self.unused_for = 0.0  # ms that it was free before this request
         self.answered: Exchange | None = None  # hears of its answer's end when the connection has ended
+        self.unclear = False, False  # what it hears, see Exchange
 
     def connectionMade(self) -> None:  # noqa: N802, D102
         self.transport.setTcpNoDelay(True)
@@ -154,8 +156,9 @@
                 exchange.done()
             else:
                 # Guards against two copies: the answer may be the second one to what this connection carried
-                # before. Once it is closed the attempt is given up in any case, and may be told as ended.
-                self.answered = exchange
+                # before. Once it is closed the attempt is given up in any case, and may be told as ended;
+                # but not if this one's 202 has come behind it.
+                self.answered, self.unclear = exchange, (doubtful, doubtful and self.spoke)
                 self.drop("worker-close")
 
     @property
@@ -191,7 +194,7 @@
         answered, self.answered = self.answered, None
         self.pool.workers.log.ended("worker", self.number, self.reason, self.pool.name)
         if answered is not None:
-            answered.done()
+            answered.done(*self.unclear)
         if exchange is not None:
             if self.parser.eof() is not None:
                 exchange.done()
@@ -414,10 +417,10 @@
     def data(self, data: bytes) -> None:
         """Bodies say nothing here."""
 
-    def done(self) -> None:
+    def done(self, unclear: bool = False, spoke: bool = False) -> None:
         """Take the end."""
         if self.message.status != 202:
-            self.over(self.workers.outcome_of(self.message))
+            self.over(replace(self.workers.outcome_of(self.message), unclear=unclear, spoke=spoke))
         elif self.timer is not None:
             self.timer.cancel()
 
@@ -450,7 +453,7 @@
     def data(self, data: bytes) -> None:
         """Bodies say nothing here."""
 
-    def done(self) -> None:
+    def done(self, unclear: bool = False, spoke: bool = False) -> None:
         """Take the end: the worker knows."""
         self.over(True)
 
@@ -487,7 +490,7 @@
         """Take bytes of the report; the parser bounds them."""
         self.body += data
 
-    def done(self) -> None:
+    def done(self, unclear: bool = False, spoke: bool = False) -> None:
         """Take the end: a report, or that the worker answers no more questions now."""
         report: tuple[float, ...] = ()
         if self.status == 200:
--- a/tests/test_second_copies.py
+++ b/tests/test_second_copies.py
@@ -214,7 +214,23 @@
                 self.kept()
                 side, worker = self.out()
                 worker.send(http.response(status, headers=more))
-                self.served(side, self.at_most_one(worker))
+                self.turn()
+                worker.read()
+                self.assertTrue(worker.ended)
+                self.given_up(worker)
+                self.served(side, self.take("POST a1"))
+
+    def test_one_with_this_jobs_own_behind_it_does_not_end_the_job(self) -> None:
+        for own in (TAKEN, TAKEN[:20]):
+            with self.subTest(own):
+                self.begin()
+                self.kept()
+                side, worker = self.out()
+                worker.send(http.response(503, headers=(("X-Rejected", "1"),)) + own)
+                self.wait(600)  # nobody answers the DELETE, which has to be
+                self.assertEqual(["DELETE /jobs/a1"], [name for name, _ in self.came()])
+                self.given_up(worker)
+                self.served(side, self.take("POST a1"))
 
     def test_where_it_can_only_be_this_jobs_the_connection_is_kept(self) -> None:
         self.begin()
