--- a/elderstall/log.py
+++ b/elderstall/log.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import select
 import sys
 import traceback
 from collections import Counter
 from collections.abc import Callable
 from typing import TextIO
 
+LINE_MOST = 1_900  # characters: a pipe that takes anything takes 4 KiB, which are two lines
+
 
 class Log:
     """A token bucket of lines. One line tells what was held back as soon as there is room again."""
@@ -24,7 +27,7 @@
         now = self.clock()
         self.tokens = min(self.burst, self.tokens + (now - self.at) * self.rate)
         self.at = now
-        if self.tokens < 1:
+        if self.tokens < 1 or not self.room():
             self.suppressed[code] += 1
             return
         if self.suppressed:
@@ -34,9 +37,21 @@
         self.tokens -= 1
         self.print(now, code, text)
 
+    def room(self) -> bool:
+        """Say whether two lines can be written without waiting.
+
+        Guards the program against whoever reads its log and stands still: once a pipe is full, writing waits.
+        """
+        poll = select.poll()
+        try:
+            poll.register((self.out or sys.stderr).fileno(), select.POLLOUT)
+            return bool(poll.poll(0))
+        except (OSError, ValueError, AttributeError):
+            return True  # no descriptor, so nobody to wait for
+
     def print(self, now: float, code: str, text: str) -> None:
         """Write the line; a log that cannot be written must not stop the program."""
-        clean = text.replace("\n", " | ").replace("\r", " ")
+        clean = text.replace("\n", " | ").replace("\r", " ")[:LINE_MOST]
         try:
             print(f"{now / 1000:.3f} {code} {clean}", file=self.out or sys.stderr, flush=True)
         except (OSError, ValueError):
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 from typing import Any
 
 import pytest
@@ -142,6 +143,42 @@
     assert lines == ["end:idle client 0", "end:idle client 1", "suppressed end:idle=3", "start again"]
 
 
+class FullPipe:
+    """A pipe's end that a write would have to wait for once the pipe is full."""
+
+    def __init__(self) -> None:
+        self.read, self.at = os.pipe()
+        os.set_blocking(self.at, False)
+
+    def fileno(self) -> int:
+        return self.at
+
+    def write(self, text: str) -> int:
+        try:
+            return os.write(self.at, text.encode())
+        except BlockingIOError:
+            raise AssertionError("the program would stand still here") from None
+
+    def flush(self) -> None:
+        pass
+
+
+def test_a_log_that_nobody_reads_holds_nothing_up_and_counts_what_it_left_out() -> None:
+    pipe: Any = FullPipe()
+    log = Log(lambda: 0.0, burst=1e9, out=pipe)
+    while not log.suppressed:
+        log.write("limit", "x" * 3_000)
+    held = log.suppressed["limit"]
+    log.write("limit", "y")
+    assert log.suppressed["limit"] == held + 1
+    os.read(pipe.read, 1 << 20)
+    log.write("start", "again")
+    said = os.read(pipe.read, 1 << 20).decode().splitlines()
+    assert [line.split(" ", 1)[1] for line in said] == [f"suppressed limit={held + 1}", "start again"]
+    os.close(pipe.read)
+    os.close(pipe.at)
+
+
 @pytest.mark.parametrize("path,value,key", [
     ("listen", "nowhere", "listen"), ("discovery", "a:b", "discovery"), ("seed", "xyz", "seed"),
     ("settings", None, "settings"), ("known", {"index": 1}, "known"),
--- a/tests/test_second_copies.py
+++ b/tests/test_second_copies.py
@@ -249,6 +249,17 @@
         c.transport.connectionLost(CLOSED)  # the reactor comes to the client first
         self.take("DELETE /jobs/a1")
 
+    def test_one_that_ends_as_it_comes_up_is_not_written_to_and_proves_that_nothing_ran(self) -> None:
+        self.begin()
+        self.held = []
+        side = self.client()
+        side.send(self.job("a1", "deck-build"))  # not to be repeated
+        self.until(lambda: bool(self.held))
+        self.came()
+        self.sides[-1].sock.shutdown(socket.SHUT_RDWR)
+        self.let_up()
+        self.served(side, self.in_time())
+
     # ---- settings under which no worker is told to give a job up ----
 
     def forbid(self) -> None:
