Tell nobody to give up a job whose last byte was never written

It is proven that it never ran, so its next attempt waits for no DELETE. The test fails with the mend out (seen); it fills the connection's buffers, which nobody reads.

--- a/elderstall/net/workers.py
+++ b/elderstall/net/workers.py
@@ -378,7 +378,7 @@
             self.wait(self.within)
             return
         self.workers.silent(self.carriage)
-        self.over(Outcome(self.carriage.call_off(), unclear=True, spoke=spoke))
+        self.over(Outcome(self.carriage.call_off(), unclear=self.sent, spoke=spoke))
 
     def stop(self) -> None:
         """Close the connection."""
--- a/tests/test_second_copies.py
+++ b/tests/test_second_copies.py
@@ -249,6 +249,29 @@
         c.transport.connectionLost(CLOSED)  # the reactor comes to the client first
         self.take("DELETE /jobs/a1")
 
+    def test_a_job_whose_last_byte_was_not_written_in_time_goes_on_with_nobody_told(self) -> None:
+        """That it never ran is proven: the worker's machine takes no more of it."""
+        self.begin()
+        for sock in self.listeners:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2_048)
+        self.held = []
+        side = self.client()
+        side.send(self.job("a1", "thumbs").replace(b"Length: 4", b"Length: 60000") + b"x" * 59_996)
+        self.until(lambda: bool(self.held))
+        late, connection = self.held[0]
+        connection.transport.getHandle().setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2_048)
+        self.came()
+        self.held = None
+        late.callback(connection)
+        for _ in range(60):  # it comes to nobody who reads
+            self.jump(10)
+            for _ in range(3):
+                reactor.iterate(0)
+        first = self.sides.pop()
+        self.served(side, self.take("POST a1"))
+        first.sock.close()
+        self.nothing()
+
     def test_one_that_ends_as_it_comes_up_is_not_written_to_and_proves_that_nothing_ran(self) -> None:
         self.begin()
         self.held = []
