Write nothing to a worker's former process, and take nothing over in a planned end

A connection still coming up when the list told of a new address or start of its worker, or of its end, carried its job to the process before (workers.py Pool.begin, up). It carries none now; the job goes elsewhere at once.

SIGTERM to a new process that asks for the handover, with the state read in the turn in which it ends: it listened and said that it serves, so that the process that runs left the listener to one that ends (app.begin). SIGHUP in the same place was right; its test stands beside it.

On the second front a 200 that is no stream may be the second answer of an earlier job too.

--- a/elderstall/app.py
+++ b/elderstall/app.py
@@ -113,6 +113,11 @@
     def begin(self, found: tuple[dict[str, Any], int] | None) -> None:
         """Take the known list, then listen: from the first ``/up`` on clients may come."""
         state, fd = found or ({}, -1)
+        if self.stopping:
+            # Guards the process that runs: told that another serves, it would leave it its clients.
+            if fd >= 0:
+                os.close(fd)
+            return
         known = state.get("known", self.config.known)
         if state:
             self.inherit(state)
--- a/elderstall/core.py
+++ b/elderstall/core.py
@@ -178,6 +178,7 @@
     to_tell: str | None = None  # a worker that said nothing, and is told to give up before the next attempt
     attempt: Attempt | None = None
     unsure: set[str] = field(default_factory=set)  # workers that may still speak of an earlier attempt
+    back: set[str] = field(default_factory=set)  # workers that have handed it back, and may say so again
     guard: Deadline | None = None
     last: str = "never sent"  # how its latest attempt ended, and where
     ending: str = "no time"  # the same in a word, for the figures; of a job never sent, why it had to go
@@ -394,7 +395,7 @@
             "cid": ask.cid, "cls": cls, "tenant": ask.tenant, "key": ask.key, "hint": ask.work_hint,
             "slots": ask.slots, "arrived": job.arrived, "deadline": job.deadline, "sent": job.sent,
             "ran": job.may_have_run, "ran_at": job.ran_at if job.may_have_run else None,
-            "unsure": sorted(job.unsure), "to_tell": job.to_tell,
+            "unsure": sorted(job.unsure), "back": sorted(job.back), "to_tell": job.to_tell,
             "attempt": None if a is None else [a.worker, a.sent, a.ends]}
         job.closed, job.attempt = True, None
         for timer in (job.guard, a.timer if a is not None else None):
@@ -415,7 +416,8 @@
         ask = Ask(state["cid"], cls.name, state["deadline"] - state["arrived"], parcel, state["tenant"],
                   state["key"], state["hint"], state["slots"], cls.effect is Effect.SAFE)
         job = Job(ask, client, cls, state["arrived"], state["deadline"], sent=state["sent"],
-                  may_have_run=state["ran"], unsure=set(state["unsure"]), to_tell=state.get("to_tell"))
+                  may_have_run=state["ran"], unsure=set(state["unsure"]), back=set(state.get("back", ())),
+                  to_tell=state.get("to_tell"))
         if job.may_have_run:  # a process of before this was told says nothing of when: at the earliest
             job.ran_at = state.get("ran_at") or job.arrived
         job.number = self.jobs.add(job)
@@ -630,7 +632,7 @@
     def called_back(self, a: Attempt, outcome: Outcome) -> None:
         """Take the end that a worker tells of an attempt."""
         a.taken = True  # whether or not its 202 has come: the call may be made again
-        if outcome.ending is not Ending.SERVED and a.worker in a.job.unsure:
+        if outcome.ending is not Ending.SERVED and a.worker in a.job.unsure | a.job.back:
             # Guards against two copies: this may be the late end of an earlier attempt at the same worker,
             # so the live one is given up before it counts as ended, and it may have run.
             self.give_up(a, Ending.BROKEN)
@@ -686,8 +688,9 @@
             a.timer.cancel()
         if ending not in i.NEVER_RAN:
             job.may_have_run, job.ran_at = True, min(job.ran_at, a.sent)
-        if a.taken or ending not in i.NEVER_RAN:
-            job.unsure.add(a.worker)  # a job handed back is told of again until the call is answered
+            job.unsure.add(a.worker)
+        elif a.taken:
+            job.back.add(a.worker)  # it calls again until it is answered
 
     def ended(self, a: Attempt, outcome: Outcome) -> None:
         """Take the end of an attempt; the first result is the job's answer."""
--- a/elderstall/net/sse.py
+++ b/elderstall/net/sse.py
@@ -150,6 +150,11 @@
         self.events: EventParser | None = None
         self.ended = False
 
+    @property
+    def ends_it(self) -> bool:
+        """Whether the answer is neither a 202 nor a stream: it frees the job to go elsewhere."""
+        return self.message.status != 202 and self.events is None
+
     def head(self, message: http.Message) -> None:
         """Take the head: a stream, or an answer of the platform's protocol."""
         super().head(message)
--- a/elderstall/net/workers.py
+++ b/elderstall/net/workers.py
@@ -282,7 +282,8 @@
         def up(connection: WorkerConnection) -> None:
             self.workers.opening -= 1
             carriage.connection = connection
-            if (why := exchange.barred()) is not None:
+            why = "it is gone, or another process now" if self.closed else exchange.barred()
+            if why is not None:
                 self.workers.log.write("rule", f"nothing written to {self.name}, up late: {why}")
                 self.rest(connection)
                 exchange.broke(Ending.UNREACHABLE)
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -70,7 +70,8 @@
         self.callLater = self.clock.callLater
         self.listenTCP, self.connectTCP = reactor.listenTCP, reactor.connectTCP
         self.adoptStreamConnection = reactor.adoptStreamConnection
-        self.listenUNIX = reactor.listenUNIX
+        self.listenUNIX, self.connectUNIX = reactor.listenUNIX, reactor.connectUNIX
+        self.adoptStreamPort = reactor.adoptStreamPort
         self.stopped = False
 
     def callFromThread(self, call: Callable[[], None]) -> None:  # noqa: N802
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -203,6 +203,9 @@
         self.ask(i.Send(number, "w"))
         self.assertIsNone(self.core.release(number), "its worker has not confirmed it")
         self.carrier.sent[-1][1].callback(None)
+        return self.next_process(number)
+
+    def next_process(self, number: int) -> tuple[Core, list[i.Event]]:
         state = json.loads(json.dumps(self.core.release(number)))
         self.assertEqual((0, False), (len(self.core.jobs), self.core.knows("a1")))
         deadlines = self.core.deadlines
@@ -243,6 +246,18 @@
         self.assertEqual(1, len(self.client.answers))
         self.assertEqual(1, len(self.carrier.recalls))
 
+    def test_a_worker_that_handed_it_back_binds_it_to_nobody_there(self) -> None:
+        """Rule 2 binds a keyed job to where it may have run; what never ran may go anywhere."""
+        number = self.job("safe")
+        self.ask(i.Send(number, "w"))
+        self.carrier.sent[-1][1].callback(None)
+        live = self.core.live("a1", "w")
+        assert live is not None
+        self.core.called_back(live, Outcome(i.Ending.FULL))
+        other, events = self.next_process(number)
+        self.assertEqual([None], [e.ran_on for e in events if isinstance(e, i.JobInherited)])
+        self.assertEqual({"w"}, other.by_cid["a1"].back)
+
     def test_with_its_client_gone_its_worker_is_told(self) -> None:
         number = self.job("unsafe")
         self.ask(i.Send(number, "w"))
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -10,7 +10,7 @@
 
 from elderstall.net import http
 from elderstall.net.server import LOOK_AGAIN, READ_AHEAD
-from tests.loopback import Loopback, Side
+from tests.loopback import Loopback, Side, address_of
 from tests.scenario import CLASSES, RULES
 
 GONE_FOR = 300.0  # ms after a client has left from which on its job must not be written to a worker
@@ -426,6 +426,53 @@
             new.close()
 
 
+class Asking(Loopback):
+    """A new process asks the one that runs to hand over, and a signal comes before that has answered."""
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.older = socket.socket(socket.AF_UNIX)
+        self.addCleanup(self.older.close)
+        self.older.bind(f"{folder.name}/elderstall-127.0.0.1-0.sock")
+        self.older.listen()
+        self.begin(folder=folder.name)
+        self.link, _ = self.older.accept()
+        self.addCleanup(self.link.close)
+        self.assertEqual({"m": "hello", "version": 1}, json.loads(self.link.recv(1_000)))
+
+    def asked_lists(self) -> list[str]:
+        return super().asked_lists() if self.app.port is not None else ["none yet"]
+
+    def hand_over(self) -> None:
+        """Give the state and the listener of the process that runs."""
+        self.listening = self.listener()
+        state = {"m": "state", "fd": 1, "known": self.raw["known"], "discovery": self.raw["discovery"],
+                 "banned": {}, "back": {}, "ids": [], "begun": [], "learned": None, "held": 0}
+        socket.send_fds(self.link, [json.dumps(state).encode() + b"\n"], [self.listening.fileno()])
+        self.turn()
+
+    def test_sigterm_ends_it_and_the_one_that_runs_goes_on(self) -> None:
+        self.app.sigterm()
+        self.turn()
+        self.assertTrue(self.loop.stopped)
+        self.assertIsNone(self.app.port)
+
+    def test_sigterm_with_the_listener_on_its_way_takes_nothing_over(self) -> None:
+        self.app.sigterm()
+        self.hand_over()  # it is read in the turn in which the program ends
+        self.assertIsNone(self.app.port)
+        self.assertEqual(b'{"m": "got"}\n', self.link.recv(1_000))  # not that it serves
+
+    def test_sighup_moves_the_watch_that_it_is_still_to_open(self) -> None:
+        old, self.lists = self.raw["discovery"], self.listener()
+        self.raw = {**self.raw, "discovery": address_of(self.lists)}
+        self.app.sighup()
+        self.raw = {**self.raw, "discovery": old}  # as the older process hands it over
+        self.hand_over()
+        self.assertEqual(["/discovery/hosts?watch=1&from=0"], self.asked_lists())  # versions of its own
+
+
 class Settings(Loopback):
     """The settings of another customer come amid the work for the one before."""
 
--- a/tests/test_second_copies.py
+++ b/tests/test_second_copies.py
@@ -220,6 +220,14 @@
                 self.given_up(worker)
                 self.served(side, self.take("POST a1"))
 
+    def test_on_the_front_for_streams_a_200_that_is_no_stream_may_be_one_too(self) -> None:
+        self.begin(progress=True)
+        self.kept()
+        side, worker = self.out()
+        worker.send(http.response(200, b"{}"))
+        self.given_up(worker)
+        self.served(side, self.take("POST a1"))
+
     def test_one_with_this_jobs_own_behind_it_does_not_end_the_job(self) -> None:
         for own in (TAKEN, TAKEN[:20]):
             with self.subTest(own):
@@ -249,6 +257,27 @@
         c.transport.connectionLost(CLOSED)  # the reactor comes to the client first
         self.take("DELETE /jobs/a1")
 
+    def test_a_connection_on_its_way_to_the_process_before_carries_no_job_any_more(self) -> None:
+        """The worker was started anew, at another address: its list says so while the connection comes up."""
+        for change in ("gone", "moved"):
+            with self.subTest(change):
+                self.begin()
+                self.held = []
+                side = self.client()
+                side.send(self.job("a1", "thumbs"))
+                self.until(lambda: bool(self.held))
+                name = next(name for name, pool in self.app.workers.pools.items()
+                            if pool is self.held[0][1].pool)
+                if change == "moved":
+                    self.came()
+                    self.listeners[int(name[1:]) - 1] = self.listener()
+                self.tell(42, False, **{name: "up" if change == "moved" else "gone"})
+                before = len(self.sides)
+                self.let_up()
+                self.wait(100)
+                self.assertEqual([], [m for s in self.sides[:before] for m in s.messages])
+                self.served(side, self.in_time())
+
     def test_a_job_whose_last_byte_was_not_written_in_time_goes_on_with_nobody_told(self) -> None:
         """That it never ran is proven: the worker's machine takes no more of it."""
         self.begin()
