Have the test of a dead process's socket wait until there is one

Seen once in two runs of all tests beside a play of 800 dispatchers: the process was killed between its start line and the making of its socket (App.begin writes the line first), so the test found none. It now asks for the process's first answer, which the reactor gives only after that. The assertion stands as it was.

--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -98,6 +98,8 @@
         self.assertEqual(200, self.call(console, "GET", "/api/ready").status)
 
     def test_a_process_that_died_leaves_a_socket_that_harms_nothing(self) -> None:
+        # Its first answer comes from the reactor, so after the socket was made; its start line comes before.
+        self.assertEqual(200, self.call(self.console, "GET", "/api/ready").status)
         self.program.kill()
         self.program.wait()
         self.assertTrue([name for name in os.listdir(self.folder) if name.endswith(".sock")])
