Believe a cold worker's slots at most twice those seen, so that thirty dispatchers keep rule 4

Cause: where workers report no free slots, those of a kind are a guess (4) until a report tells. With thirty dispatchers of unequal traffic none ever fills a worker to see.

Change: `learning.cold_power` takes at most twice the slots ever seen of the kind or worker. Deployments whose workers report free slots decide as before.

--- a/elderstall/choice.py
+++ b/elderstall/choice.py
@@ -340,7 +340,7 @@
         while w.pushed and w.pushed[0][0] <= self.now - self.s.push_window:
             w.pushed.popleft()
         need, sent, s = job.work * job.slots, sum(work for _, work in w.pushed), self.s
-        budget = COLD_PART * s.push_multiple * w.slots * w.speed * w.warmth(self.now, s) * s.push_window
+        budget = COLD_PART * s.push_multiple * s.push_window * learning.cold_power(self, w)
         if sent + need <= budget / self.s.dispatchers:
             return True
         # Where our part is less than a job, as many dispatchers as jobs fit may send one, others each window.
--- a/elderstall/learning.py
+++ b/elderstall/learning.py
@@ -9,6 +9,7 @@
 if TYPE_CHECKING:
     from elderstall.choice import Dispatcher
 
+SEEN_TIMES = 2.0  # times the slots ever seen: what a cold worker's are believed to be at most
 MEMORY_JOBS = 30.0  # speeds forget as jobs end, to follow a worker that slows
 
 
@@ -18,6 +19,16 @@
     d.kinds[w.kind][2] = max(d.kinds[w.kind][2], slots)
 
 
+def cold_power(d: Dispatcher, w: Worker) -> float:
+    """Give what a cold worker does now: speed x slots x warmth, in ms of work a ms.
+
+    Guards rule 4: until a report tells, the slots of a kind are a guess, and thirty light dispatchers that
+    each take a worker of one slot for one of four push it over together.
+    """
+    seen = max(w.peak, d.kinds[w.kind][2])
+    return min(w.slots, SEEN_TIMES * seen) * w.speed * w.warmth(d.now, d.s)
+
+
 def learn(d: Dispatcher, a: Attempt, run: float) -> None:
     """Take the running time of a served job into its worker's speed and its class's mean work."""
     job, w = a.job, a.worker
