Accept no more clients in one turn than there is room for; look for a client's leaving every 50 ms

Cause: the listening port accepts up to a hundred connections in one turn of the reactor.

Change: the port's bound on a turn is the room there is. The tests of leaving now use 100 ms (300).

--- a/elderstall/app.py
+++ b/elderstall/app.py
@@ -133,6 +133,7 @@
             self.port = self.reactor.adoptStreamPort(fd, socket.AF_INET, self.server)
             os.close(fd)
         self.server.accept = self.accept
+        self.bound_accepting()
         host = self.port.getHost()
         self.log.write("start", f"{self.config.name} listens on {host.host}:{host.port}")
         if self.handover is None:
@@ -143,6 +144,20 @@
             self.handover.older.send("serving")
             self.linked()
 
+    def bound_accepting(self) -> None:
+        """Have the port take no more connections in one turn than there is room for.
+
+        Twisted's takes up to a hundred and more in one go: idle clients that come in a burst would have the
+        descriptors that workers and discovery need. Those left in the listener's queue come in the next turn.
+        """
+        port, read = self.port, self.port.doRead
+
+        def read_bounded() -> None:
+            port.numberAccepts = max(1, min(port.numberAccepts, self.server.room))
+            read()
+
+        port.doRead = read_bounded
+
     def accept(self, on: bool) -> None:
         """Read the listening port or not; while another process serves, it does."""
         serves = self.handover is None or self.handover.successor is None
--- a/elderstall/net/server.py
+++ b/elderstall/net/server.py
@@ -40,7 +40,7 @@
 READ_AT_ONCE = 16 * 1024  # bytes taken from a socket in one go: hundreds may send at once, in little memory
 READ_AHEAD = http.MAX_HEAD + http.MAX_BODY  # bytes kept behind a request in hand: one more at its largest
 CROWDED_AHEAD = 4 * 1024  # the same while all connections together keep more than they should
-LOOK_AGAIN = 100.0  # ms between looks whether a client has left from which nothing is read
+LOOK_AGAIN = 50.0  # ms between looks whether a client has left from which nothing is read
 LINGER = 1_000.0  # ms of reading on after a last answer, so that a reset does not overtake it
 ENDINGS = {"done": Ending.SERVED, "failed": Ending.ERROR, "returned": Ending.FULL, "lost": Ending.BROKEN}
 BODY_PAUSE = 500.0  # ms: a body of which a part came this lately is slow, not given up
@@ -542,6 +542,11 @@
                 return c
         return None
 
+    @property
+    def room(self) -> int:
+        """How many more connections may come in."""
+        return self.most - self.elsewhere - len(self.connections)
+
     def crowded(self) -> None:
         """Keep descriptors back: past the soft limit some clients go, past the hard one none come in.
 
@@ -550,7 +555,7 @@
         soft = self.soft - self.elsewhere
         while len(self.connections) - self.ending > soft and (c := self.sheddable()) is not None:
             c.shed()
-        if (on := len(self.connections) < self.most - self.elsewhere) is not self.accepting:
+        if (on := self.room > 0) is not self.accepting:
             self.accepting = on
             self.accept(on)
         if len(self.connections) - self.ending > soft and self.looking is None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -13,10 +13,11 @@
 from tests.loopback import Loopback, Side, address_of
 from tests.scenario import CLASSES, RULES
 
-GONE_FOR = 300.0  # ms after a client has left from which on its job must not be written to a worker
+GONE_FOR = 100.0  # ms after a client has left from which on its job must not be written to a worker
 MUCH = b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n" * (READ_AHEAD // 28 + 900)  # more than is read ahead
 PATIENT = {"name": "album", "points": 4, "aim": 4000, "deadline": 9000, "effect": "safe"}
 TOLD_AFTER, ANSWERED_IN = 6_000.0, 700.0  # ms: a change counts as told; what is left for a call's answer
+OWN_CALLS, OWN_LEAST = 3, 12  # descriptors: a former watch and two calls; the idle program's own
 KEYED = {"name": "stamp", "points": 3, "aim": 300, "deadline": 5000, "effect": "keyed", "key_scope": "all",
          "memory_span": 400}
 
@@ -140,6 +141,38 @@
         self.wait(2 * LOOK_AGAIN)
         self.take("DELETE /jobs/gone")
 
+    def test_of_many_that_leave_at_any_instant_none_is_sent_from_0_1_s_on(self) -> None:
+        """Counts what is written to workers after the close, wherever the jobs wait."""
+        self.begin(workers=3)
+        left: dict[str, float] = {}
+        written: list[tuple[str, float]] = []
+        running: list[str] = []
+        for n in range(60):
+            cid = f"j{n}"
+            side = self.sent(cid, "album" if n % 2 else "deck-build")
+            self.wait(20)
+            if n % 3 == 2:
+                side.sock.close()
+                left[cid] = self.app.deadlines.now()
+            if len(running) > 1:  # of two in a row the first is handed back and goes on to another worker
+                attempt = self.app.core.by_cid[running[0]].attempt
+                assert attempt is not None
+                self.call_back(running.pop(0), "returned" if n % 2 else "done", attempt.worker)
+            for what, worker in self.came():
+                worker.messages.pop(0)
+                worker.send(http.response(202))
+                self.turn()
+                method, name = what.split()
+                if method == "POST":
+                    written.append((name, self.app.deadlines.now()))
+                    running.append(name)
+                elif name.rpartition("/")[2] in running:
+                    running.remove(name.rpartition("/")[2])  # told to give it up
+        self.assertEqual([], [name for name, at in written if at > left.get(name, at) + GONE_FOR])
+        self.assertEqual(20, len(left))
+        self.assertGreater(len(written), 15)
+        self.assertTrue([cid for cid in left if cid not in dict(written)])  # some were still waiting
+
     def test_a_client_that_stays_gets_all_its_answers(self) -> None:
         """What is read ahead is bounded, and what lies behind that is not lost."""
         self.begin()
@@ -657,6 +690,55 @@
         self.falls_silent(self.HEAD + http.chunk(self.LINE) + http.chunk(self.LINE)[:20])
 
 
+class Crowd(Loopback):
+    """Idle clients want every descriptor there is, while discovery is down."""
+
+    SOCKETS = 96
+
+    def idle_clients(self, count: int) -> list[Side]:
+        return [self.client() for _ in range(count)]
+
+    def test_a_burst_in_one_turn_takes_no_more_than_the_clients_part(self) -> None:
+        self.begin(sockets=self.SOCKETS)
+        most = self.app.server.most
+        self.idle_clients(2 * self.SOCKETS)
+        for _ in range(20):
+            self.turn(1)
+            self.assertLessEqual(len(self.app.server.connections), most)
+
+    def test_the_calls_for_the_list_and_the_watch_get_theirs_at_its_return(self) -> None:
+        for asked in (False, True):  # clients that say nothing, and such that rest after their first request
+            with self.subTest(asked=asked):
+                self.begin(workers=2, sockets=self.SOCKETS)
+                address = self.lists.getsockname()
+                self.lists.close()
+                self.watches[-1].sock.close()
+                crowd: list[Side] = []
+                for _ in range(20):
+                    crowd += self.idle_clients(10)
+                    if asked:
+                        crowd[-1].send(http.request("GET", "/up", "x"))
+                    self.wait(500)
+                    own = len(self.app.server.connections) + len(self.app.workers.connections)
+                    self.assertLessEqual(own + OWN_CALLS, self.SOCKETS - OWN_LEAST)
+                self.lists = socket.create_server(address)
+                self.lists.setblocking(False)
+                self.addCleanup(self.lists.close)
+                called = len(self.asked_lists())
+                for _ in range(25):
+                    crowd += self.idle_clients(10)
+                    self.wait(100)
+                    if len(self.asked_lists()) > called:
+                        break
+                self.tell(60, whole=True, w1="draining", w2="up")
+                self.assertEqual("draining", self.app.core.workers["w1"].state.value)
+                crowd += self.idle_clients(self.SOCKETS)
+                self.wait(1_000)
+                self.assertFalse(self.watches[-1].ended)
+                for side in crowd:
+                    side.sock.close()
+
+
 class Connections(Loopback):
     """A worker's connection that ends, or says something, at the wrong instant."""
 
