--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -207,7 +207,8 @@
     def startReading(self) -> None:  # noqa: N802
         pass
 
-    stopReading = stopListening = startReading  # noqa: N815
+    stopReading = stopListening = doRead = startReading  # noqa: N815
+    numberAccepts = 1  # noqa: N815
 
     def fileno(self) -> int:
         return -1
