--- a/elderstall/app.py
+++ b/elderstall/app.py
@@ -5,6 +5,7 @@
 import os
 import socket
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any, cast
 
 from twisted.internet.defer import Deferred
@@ -52,7 +53,7 @@
             self.deadlines, self.connect_worker, self.log, config.report_fields, config.idle_ms,
             config.worker_connections, config.connect_ms)
         self.core = Core(config.settings, config.seed, self.deadlines, self.workers, self.log,
-                         config.slack_ms, config.max_open)
+                         config.slack_ms, config.max_open, config.entries_most)
         self.discovery = Discovery(self.deadlines, self.log, self.connect_discovery, self.workers,
                                    self.core.listed, config.discovery, config.live_weights)
         self.core.follow = self.discovery.follow
@@ -122,6 +123,7 @@
         if state:
             self.inherit(state)
         _, entries = self.discovery.take(known) or (None, ())
+        self.config = replace(self.config, known=None)  # what is listed from here on is the view's
         if state.get("discovery", self.config.discovery) != self.config.discovery:
             self.discovery.index = 0  # another one counts its versions afresh
         self.core.start(entries, state.get("learned"))
@@ -169,16 +171,17 @@
         """Give a new process what it needs, and the listener."""
         core = self.core
         return {
-            "known": told_as(self.discovery.index, core.listing.values(), self.discovery.addresses),
-            "discovery": self.config.discovery, "banned": core.banned, "back": core.put_back,
+            "known": told_as(self.discovery.index, core.view.entries.values(), self.discovery.addresses),
+            "discovery": self.config.discovery, "banned": core.view.banned, "back": core.view.put_back,
             "ids": [*core.elsewhere, *core.answered, *core.by_cid], "begun": self.server.streamed(),
             "learned": learned(core.module), "held": len(self.server.connections),
         }, os.dup(self.port.fileno())
 
     def inherit(self, state: dict[str, Any]) -> None:
         """Take what the process that runs hands over."""
-        self.core.banned.update(state["banned"])
-        self.core.put_back.update((name, (since, until)) for name, (since, until) in state["back"].items())
+        view = self.core.view
+        view.banned.update(state["banned"])
+        view.put_back.update((name, (since, until)) for name, (since, until) in state["back"].items())
         for cid in state["ids"]:
             self.core.taken_elsewhere(cid)
         self.server.inherit(state["begun"])
@@ -289,7 +292,7 @@
         self.core.counts.loads += 1
         if keys := fixed_keys(self.config, told):
             self.log.write("reload", f"only a restart changes {', '.join(keys)}")
-        old, self.config = self.config, new
+        old, self.config = self.config, replace(new, known=None)
         moved = told.discovery != old.discovery
         self.limit()
         if (new.settings, new.slack_ms, new.max_open) != (old.settings, old.slack_ms, old.max_open):
--- a/elderstall/choice.py
+++ b/elderstall/choice.py
@@ -23,7 +23,7 @@
 from elderstall.rotation import FAR, NEAR, Rotation, Rotations
 from elderstall.routing import lanes, pressure
 from elderstall.search import climb
-from elderstall.succession import inherited, relearned, retuned
+from elderstall.succession import Forgetting, inherited, relearned, retuned
 
 SIZES_EVERY = 10  # the design's 1:10 between the two cadences
 F_BUDGET, S_BUDGET = 200, 500  # the design's evaluations, where the CPU allows them
@@ -87,7 +87,7 @@
         self.pressure, self.near = pressure.Pressure(), 1.0  # near: our own part of the workers asked
         self.running, self.pumping = 0, False  # slots of our started attempts; whether a look is due
         self.part, self.pace, self.keepers = 0.0, 1.0, dict[tuple[int, str], list[Worker]]()  # slots; a unit
-        self.turn, self.claim = 0.0, 1 / settings.dispatchers  # virtual ms of rotation; our part of the fleet
+        self.turn, self.claim = 0.0, 1 / settings.sharers  # virtual ms of rotation; our part of the fleet
         # Least delay from send to start by zone, as a first job may find a queue (ied79d9); a first guess.
         self.trips: defaultdict[str | None, float] = defaultdict(lambda: settings.connect_timeout / 2)
         self.kinds: defaultdict[str, list[float]] = defaultdict(lambda: [0.0, 0.0, 1.0, SLOTS_GUESS])
@@ -100,7 +100,7 @@
             i.AttemptNoted: self.noted, i.AttemptEnded: self.attempt_ended, i.JobLeft: self.left,
             i.TimerFired: self.timer, i.AnswerBegan: self.left, i.Retuned: partial(retuned, self),
             i.Probed: self.probed, i.Learned: partial(relearned, self),
-            i.JobInherited: partial(inherited, self),
+            i.JobInherited: partial(inherited, self), i.WorkersForgotten: Forgetting(self),
         }
         self.tiers = 0
         self.adopt(settings)
@@ -221,9 +221,9 @@
         order = sorted(((n + 0.5) / len(ws), *w.order)
                        for ws in kin.values() if len(ws) >= len(TIER_WEIGHTS) for n, w in enumerate(ws))
         self.cut = [self.workers[name] for *_, name in order]
-        self.near = min(1.0, OURS / max(1, len(self.cut) + len(self.common)))
+        self.near = min(1.0, max(self.s.least_part, OURS / max(1, len(self.cut) + len(self.common))))
         for n, w in enumerate(self.cut + self.common):
-            w.place, w.rank = (self.s.rank - n) * GOLDEN % 1, n
+            w.place, w.rank = (self.s.rank - (w.order[0] if self.s.sharing else n)) * GOLDEN % 1, n
         self.refresh_all()
         self.fit_sizes()
 
@@ -252,7 +252,7 @@
 
     def refresh(self, ws: Iterable[Worker]) -> None:
         """Work out workers' speed, slots, power and our part; kin tell what they have not shown."""
-        prior, each, kin = PRIOR_JOBS * self.typical, self.s.dispatchers, dict[str, tuple[float, float]]()
+        prior, each, kin = PRIOR_JOBS * self.typical, self.s.sharers, dict[str, tuple[float, float]]()
         for w in ws:
             if w.kind not in kin:
                 work, time, most, guess = self.kinds[w.kind]
@@ -281,7 +281,7 @@
             self.size_pools()
         power = sum(w.power for w in fleet) or 1.0
         work = CLAIM * sum(x[1] for x in self.load_seen) / INTERVAL
-        self.claim = max(1 / self.s.dispatchers, work / power)
+        self.claim = max(1 / self.s.sharers, work / power)
         self.refresh_all()
         self.rotations.settle(fleet)
         self.part = sum(w.fair for w in fleet)
@@ -295,7 +295,7 @@
         budget = int(min(most, min(allowed, default=math.inf) * CPU_PART / EVAL_US))
         if self.tiers == 1 or not self.cut or budget < 2:
             return
-        load = records.load_of(self.load_seen, self.s.dispatchers / INTERVAL, self.cut, self.common)
+        load = records.load_of(self.load_seen, self.s.sharers / INTERVAL, self.cut, self.common)
         self.policy = climb(self.policy, lambda p: utility(p, load), self.tiers, budget, self.rng, resize)
         self.shares = flows(self.policy, self.tiers)
         if resize:
@@ -341,14 +341,14 @@
             w.pushed.popleft()
         need, sent, s = job.work * job.slots, sum(work for _, work in w.pushed), self.s
         budget = COLD_PART * s.push_multiple * s.push_window * learning.cold_power(self, w)
-        if sent + need <= budget / self.s.dispatchers:
+        if sent + need <= budget / self.s.sharers:
             return True
         # Where our part is less than a job, as many dispatchers as jobs fit may send one, others each window.
         if self.asks:  # those whose own it is share it
-            sharers = max(1.0, self.near * self.s.dispatchers)
+            sharers = max(1.0, self.near * self.s.sharers)
             at = (w.place / self.near + stable_hash(f"{w.name} {self.now // self.s.push_window}") / 2**32) % 1
             return bool(w.fair) and not sent and need <= budget and at * sharers < int(budget / self.typical)
-        turn = (self.s.rank + stable_hash(f"{w.name} {self.now // self.s.push_window}")) % self.s.dispatchers
+        turn = (self.s.rank + stable_hash(f"{w.name} {self.now // self.s.push_window}")) % self.s.sharers
         return not sent and need <= budget and turn < int(budget / self.typical)
 
     def group(self, w: Worker) -> int | None:
--- a/elderstall/config.py
+++ b/elderstall/config.py
@@ -22,6 +22,9 @@
 MIN_SOCKETS = 64
 FOOTPRINT = 24.0  # MiB that the program takes with nothing to do, measured
 READING_PART = 0.125  # of the memory beyond it may go to requests not whole yet; jobs may hold as much
+LIST_PART = 0.5  # of the memory beyond it may go to the list of workers, also while a new one is read
+ENTRY_BYTES = 1_700  # that an entry takes then, measured at 23,000 (docs/CAPACITY.md)
+ENTRIES_LEAST = 1_024  # of a list are held whatever the limit
 READING_LEAST = 1.0  # MiB for them, however little there is
 
 
@@ -63,6 +66,7 @@
     progress: Progress = Progress()
     console: tuple[str, int] | None = None  # the second address to listen on
     folder: str | None = None  # where this dispatcher's processes find each other
+    entries_most: int = 1_000_000  # of one list of workers, by the memory limit
     raw: Any = field(default=None, compare=False, repr=False)  # the file, as it was read
 
 
@@ -112,6 +116,12 @@
     return Progress(enabled, **figures)
 
 
+def entries_most(memory: float) -> int:
+    """Give how many entries of the list of workers a memory limit of so many MiB can hold."""
+    room = max(0.0, memory - FOOTPRINT) * LIST_PART * 1024 * 1024
+    return max(ENTRIES_LEAST, int(room / ENTRY_BYTES))
+
+
 def config_of(raw: Any, env: Mapping[str, str], front: str | None = None) -> Config:
     """Check the platform's object; what it lacks may come from the environment."""
     if not isinstance(raw, dict):
@@ -169,7 +179,8 @@
         client_hard=usable - workers,
         reading_bytes=int(max(READING_LEAST, (memory - FOOTPRINT) * READING_PART) * 1024 * 1024),
         progress=progress_of(front), console=address_of(console, "console") if console else None,
-        folder=env.get("TMPDIR") or None, raw=raw)
+        folder=env.get("TMPDIR") or None, entries_most=entries_most(memory),
+        raw={**raw, "known": None} if "known" in raw else raw)  # the list is not kept a second time
 
 
 FIXED = {"name": "name", "listen": "host port", "console": "console"}  # what the sockets were made with
--- a/elderstall/core.py
+++ b/elderstall/core.py
@@ -20,10 +20,12 @@
 from elderstall.deadlines import Deadline, Deadlines
 from elderstall.interface import Effect, Ending, ListScope, Scope, WorkerState
 from elderstall.log import Log
+from elderstall.routing.view import ENTRIES_MOST, FleetView
 from elderstall.slots import SLOT_MASK, Slots
 
 REMEMBERED = 4_096  # ids of answered jobs kept: minutes of them at the rates known
 CLIENT_LEFT = "its client has left"
+SHARING_CHANGED = 1 / 8  # the module is told anew how many dispatchers share its workers
 DRAIN_PART = 0.75  # of the time that the rule on drains allows; after that the core itself sends nothing
 
 
@@ -93,6 +95,12 @@
     jobs: int = 0
     listed: int = 0
     avoided: int = 0
+    in_view: int = 0  # workers that the module knows: all that are listed, or a subset of them
+    widened: int = 0  # of them, those taken for others that are out of reach
+    zones_lost: int = 0  # zones out of reach, as attempts show
+    lists_refused: int = 0  # lists of more entries than the memory limit can hold
+    odd_entries: int = 0  # entries with no zone or kind where others have one, or with a doubled name
+    forgotten: int = 0  # workers that were gone, and are not remembered any more
     list_calls: int = 0  # calls for the list that went out to discovery
     list_failed: int = 0  # of them, and of watches, those that ended with no list
     list_age: float = -1.0  # ms since discovery last told anything; -1: not since the start
@@ -184,19 +192,11 @@
     ending: str = "no time"  # the same in a word, for the figures; of a job never sent, why it had to go
 
 
-@dataclass(slots=True)
-class Known:
-    """What the core knows of a listed worker."""
-
-    state: WorkerState
-    since: float  # when it was told this state
-
-
 class Core:
     """One dispatcher: the module, its jobs and the rules."""
 
     def __init__(self, settings: i.Settings, seed: int, deadlines: Deadlines, carrier: Carrier, log: Log,
-                 slack: float = 8.0, max_open: int = 20_000) -> None:
+                 slack: float = 8.0, max_open: int = 20_000, entries_most: int = ENTRIES_MOST) -> None:
         self.s, self.deadlines, self.carrier, self.log = settings, deadlines, carrier, log
         self.module = Dispatcher(settings, seed)
         self.slack, self.part = slack, 1.0  # part: of this process, of the dispatcher's cold budget
@@ -207,10 +207,10 @@
         self.answered: OrderedDict[str, None] = OrderedDict()  # ids, the latest last
         self.elsewhere: OrderedDict[str, None] = OrderedDict()  # taken by the other process of an upgrade
         self.on_taken: Callable[[str], None] = lambda cid: None
-        self.workers: dict[str, Known] = {}  # all that were ever listed, as they count: see shown
-        self.listing: dict[str, i.Listed] = {}  # as discovery tells it
-        self.banned: dict[str, float] = {}  # by hand; since when
-        self.put_back: dict[str, tuple[float, float]] = {}  # banned when, and until when
+        self.view = FleetView(settings, entries_most, log.write)
+        self.sharing = 0.0  # dispatchers that share our subset, as the module was last told; 0: all know all
+        self.calling = False  # a call for the list is out, of whose answer the module has not heard
+        self.settling: Deadline | None = None  # when workers may enter the view again
         self.counts = Figures(list(self.classes))
         self.events: deque[i.Event] = deque()
         self.feeding = False
@@ -254,15 +254,19 @@
     def retune(self, settings: i.Settings, slack: float, max_open: int) -> None:
         """Take new settings; jobs under way keep their class."""
         self.s, self.slack, self.jobs.most = settings, slack, min(max_open, SLOT_MASK)
+        news = self.view.retune(settings, self.deadlines.now())
         self.classes = {c.name: c for c in settings.classes}
         self.tenants = {t.name for t in settings.tenants}
         self.counts.classes += [name for name in self.classes if name not in self.counts.classes]
+        self.sharing = self.view.sharing
         self.share(self.part)
+        self.tell_all(news)
 
     def share(self, part: float) -> None:
         """Leave the other process of an upgrade its part of what cold workers may be sent, for rule 4."""
         self.part = part
-        self.feed(i.Retuned(replace(self.s, push_multiple=self.s.push_multiple * part)))
+        push_multiple = self.s.push_multiple * part
+        self.feed(i.Retuned(replace(self.s, push_multiple=push_multiple, sharing=self.sharing)))
 
     def set_timer(self, action: i.SetTimer) -> None:
         """Carry out SetTimer."""
@@ -273,15 +277,22 @@
 
     def figures(self) -> Figures:
         """Give the figures; whom the module avoids is its own to say."""
-        here = {name for name, known in self.workers.items() if known.state is not WorkerState.GONE}
-        self.counts.jobs, self.counts.listed = len(self.jobs), len(here)
-        self.counts.avoided = len(here & self.module.avoided(now := self.deadlines.now()))
+        view, now = self.view, self.deadlines.now()
+        self.counts.jobs, self.counts.listed = len(self.jobs), len(view.entries)
+        self.counts.avoided = sum(name in view.entries for name in self.module.avoided(now))
+        self.counts.in_view = len(view.entries) if view.subset is None else len(view.members)
+        self.counts.widened = 0 if view.subset is None else view.subset.widened
+        self.counts.zones_lost = len(view.lost_zones)
+        self.counts.lists_refused = view.counts.lists_refused
+        self.counts.odd_entries = view.counts.odd_entries.total()
+        self.counts.forgotten = view.counts.forgotten
         self.counts.list_age = now - self.counts.heard_at if self.counts.heard_at >= 0 else -1.0
         return self.counts
 
     def call(self) -> None:
         """Carry out FollowList, and count it."""
         self.counts.list_calls += 1
+        self.calling = True
         self.follow()
 
     def wrote(self) -> None:
@@ -302,60 +313,50 @@
             self.counts.list_failed += 1
         elif self.started:  # the list known at the start is not news of discovery's
             self.counts.heard_at = now
-        if scope is ListScope.WHOLE:
-            self.listing.clear()
-        self.listing.update((e.worker, e) for e in entries)
-        entries = tuple(self.shown(e) for e in entries)
-        if scope is ListScope.WHOLE:
-            named = {e.worker for e in entries}
-            for name, known in self.workers.items():
-                if name not in named and known.state is not WorkerState.GONE:
-                    self.workers[name] = Known(WorkerState.GONE, now)
-        for e in entries:
-            old = self.workers.get(e.worker)
-            # From draining to gone the worker stays told: the clock of the rule is not set back.
-            stays = old is not None and (old.state is WorkerState.UP) == (e.state is WorkerState.UP)
-            self.workers[e.worker] = Known(e.state, old.since if old is not None and stays else now)
-        self.feed(i.WorkerList(scope, entries))
-
-    def shown(self, e: i.Listed) -> i.Listed:
-        """Lay what operators have said over an entry: it holds whatever discovery lists in the meantime."""
-        if e.worker in self.banned and e.state is WorkerState.UP:
-            e = replace(e, state=WorkerState.DRAINING)
-        if e.worker in self.put_back:
-            since, until = self.put_back[e.worker]
-            if (e.started or 0.0) < since:
-                # Guards rule 4: it was started anew while banned, but discovery's news of that comes late.
-                e = replace(e, started=until)
-        return e
+        events = self.view.take(now, scope, entries)
+        if not events and self.calling:
+            events = [i.WorkerList(ListScope.CHANGES)]  # discovery has answered, with nothing for the module
+        self.calling = False
+        self.tell_all(events)
+
+    def tell_all(self, events: list[i.Event]) -> None:
+        """Hand the module news of its view; before that, by how many it is shared, where that changed."""
+        if not events:
+            return
+        old, new = self.sharing, self.view.sharing
+        if bool(old) != bool(new) or abs(new - old) > SHARING_CHANGED * old:
+            self.sharing = new
+            self.share(self.part)
+        for event in events:
+            self.feed(event)
+        due = self.view.due
+        if due is not None and self.settling is None:
+            self.settling = self.deadlines.at(due, self.settle)
+
+    def settle(self) -> None:
+        """Let workers into the view that wait for it."""
+        self.settling = None
+        self.tell_all(self.view.settle(self.deadlines.now()))
 
     def exclude(self, worker: str) -> bool:
         """Send nothing new to a worker until it is put back; says no if it was never listed."""
-        if worker not in self.workers:
+        if not self.view.knows(worker):
             return False
-        if worker not in self.banned:
-            self.banned[worker] = self.deadlines.now()
-            self.show(worker)
+        now = self.deadlines.now()
+        if self.view.exclude(worker, now):
+            self.tell_all(self.view.refresh(worker, now))
         return True
 
     def include(self, worker: str) -> bool:
         """End a ban: the worker is a new process, with nothing held against it."""
-        if worker not in self.workers:
+        if not self.view.knows(worker):
             return False
-        since = self.banned.pop(worker, None)
-        if since is not None:
-            self.put_back[worker] = since, self.deadlines.now()
+        now = self.deadlines.now()
+        if self.view.include(worker, now):
             self.carrier.renew(worker)
-            self.show(worker)
+            self.tell_all(self.view.refresh(worker, now))
         return True
 
-    def show(self, worker: str) -> None:
-        """Have a worker's entry seen as it counts now."""
-        if worker in self.listing:
-            heard = self.counts.heard_at
-            self.listed(ListScope.CHANGES, (self.listing[worker],))
-            self.counts.heard_at = heard  # it was not discovery that spoke
-
     # ---- jobs ----
 
     def take(self, ask: Ask, client: Client) -> int:
@@ -516,8 +517,7 @@
 
     def probe(self, action: i.Probe) -> None:
         """Carry out Probe; a worker told draining or gone is left alone."""
-        known = self.workers.get(action.worker)
-        if known is None or known.state is not WorkerState.UP:
+        if self.view.state(action.worker) is not WorkerState.UP:
             self.feed(i.Probed(action.worker, Ending.NEVER_SENT))
             return
         self.counts.probes += 1
@@ -541,7 +541,7 @@
             return "an attempt is out"
         if job.sent > self.s.max_attempts:  # this one is counted
             return "too many attempts"
-        if action.worker not in self.workers:
+        if not self.view.knows(action.worker):
             return "unknown worker"
         if job.may_have_run and job.cls.effect is Effect.UNSAFE:
             return "may have run"
@@ -549,8 +549,8 @@
 
     def barred(self, job: Job, worker: str) -> str | None:
         """Give what time may have brought against sending a job, up to its first byte."""
-        known, now = self.workers[worker], self.deadlines.now()
-        if known.state is not WorkerState.UP and now - known.since > DRAIN_PART * self.s.drain_within:
+        now = self.deadlines.now()
+        if not self.view.may_send(worker, now, DRAIN_PART * self.s.drain_within):
             return "worker told draining or gone"
         if job.cls.effect is Effect.KEYED and now - job.ran_at >= job.cls.memory_span:
             return "its repeat would not be dropped any more"
@@ -698,6 +698,7 @@
         if job.attempt is not a:
             return
         self.detach(a, outcome.ending)
+        self.tell_all(self.view.ended(a.worker, outcome.ending, self.deadlines.now()))
         if outcome.ending is Ending.SERVED:
             self.close(job, Served(outcome.result))
         self.feed(i.AttemptEnded(job.number, a.number, a.worker, outcome.ending, job.closed, outcome.report))
--- a/elderstall/interface.py
+++ b/elderstall/interface.py
@@ -96,6 +96,9 @@
     quota_per_s: float
 
 
+OWNERS_LEAST = 2.0  # dispatchers that count a worker as their own, where each holds a subset of the fleet
+
+
 @dataclass(slots=True, frozen=True)
 class Settings:
     """Everything a dispatcher knows at its start."""
@@ -127,6 +130,17 @@
     probes: bool = False  # whether workers may be asked how they stand
     cancels: bool = True  # whether workers may be told to give a job up
     pulled: bool = False  # whether they tell it only then, not with their answers
+    sharing: float = 0.0  # dispatchers that share each worker of ours, where that is not all; see sharers
+
+    @property
+    def sharers(self) -> float:
+        """How many dispatchers share each worker that we know: all, or those that hold it in their subset."""
+        return self.sharing or self.dispatchers
+
+    @property
+    def least_part(self) -> float:
+        """Least part of its workers that a dispatcher counts as its own: each has so many owners then."""
+        return OWNERS_LEAST / self.sharing if self.sharing else 0.0
 
     @property
     def callers(self) -> int:
@@ -217,6 +231,13 @@
     entries: tuple[Listed, ...] = ()
 
 
+@dataclass(slots=True, frozen=True)
+class WorkersForgotten:
+    """Workers long gone, or long out of our subset, of which nothing has to be remembered any more."""
+
+    workers: tuple[str, ...]
+
+
 @dataclass(slots=True, frozen=True)
 class JobArrived:
     """A job that is now owed exactly one final answer within ``time_left``."""
@@ -285,8 +306,8 @@
     token: int
 
 
-Event = (Begin | Retuned | Learned | WorkerList | JobArrived | JobInherited | AttemptNoted | AnswerBegan
-         | AttemptEnded | Probed | JobLeft | TimerFired)
+Event = (Begin | Retuned | Learned | WorkerList | WorkersForgotten | JobArrived | JobInherited | AttemptNoted
+         | AnswerBegan | AttemptEnded | Probed | JobLeft | TimerFired)
 
 
 # ---- actions ----
--- a/elderstall/net/console.py
+++ b/elderstall/net/console.py
@@ -34,7 +34,10 @@
     lines += [f"upstream_tries={f.tries}", f"in_progress={f.jobs}", f"known_card_workers={f.listed}",
               f"skipped_card_workers={f.avoided}", f"loads={f.loads}", f"load_errors={f.load_errors}",
               f"worker_questions={f.probes}", f"list_calls={f.list_calls}",
-              f"list_calls_failed={f.list_failed}", f"list_age_ms={f.list_age:.0f}"]
+              f"list_calls_failed={f.list_failed}", f"list_age_ms={f.list_age:.0f}",
+              f"workers_listed={f.listed}", f"workers_in_view={f.in_view}", f"workers_widened={f.widened}",
+              f"zones_out_of_reach={f.zones_lost}", f"workers_forgotten={f.forgotten}",
+              f"lists_refused={f.lists_refused}", f"list_entries_odd={f.odd_entries}"]
     return "".join(f"{PREFIX}.{line}\n" for line in lines).encode()
 
 
--- a/elderstall/net/discovery.py
+++ b/elderstall/net/discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Mapping
+from sys import intern
 from typing import Any
 from typing import Protocol as Shape
 
@@ -52,8 +53,10 @@
     try:
         name, address, state = e["name"], e["address"], STATES[e["status"]]
         started, weight = float(e.get("since_ms") or 0), float(e.get("weight") or 0)
-        listed = i.Listed(str(name), str(e.get("type") or ""), e.get("zone"), int(e.get("group") or 0),
-                          started or None, state, (live and weight) or 1.0)
+        kind, zone = str(e.get("type") or ""), e.get("zone")
+        # Of the same few kinds and zones in every entry of a large list one copy is kept.
+        listed = i.Listed(str(name), intern(kind), intern(zone) if isinstance(zone, str) else zone,
+                          int(e.get("group") or 0), started or None, state, (live and weight) or 1.0)
         if not (0 <= started < MOST and 0 <= weight < MOST):  # NaN is neither
             raise ValueError("since_ms or weight out of range")
     except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
--- a/elderstall/net/workers.py
+++ b/elderstall/net/workers.py
@@ -5,7 +5,7 @@
 import json
 from collections.abc import Callable
 from dataclasses import replace
-from typing import Any
+from typing import Any, NamedTuple
 from typing import Protocol as Shape
 from urllib.parse import quote
 
@@ -208,6 +208,13 @@
                 exchange.broke(self.broken_as(self.quick), spoke)
 
 
+class Place(NamedTuple):
+    """Where a worker's process listens, and when it started, Unix ms."""
+
+    address: str
+    started: float | None
+
+
 class Pool(Factory):
     """The connections to one worker at one address."""
 
@@ -532,8 +539,8 @@
         self.most, self.opening = most, 0  # those still coming up count too
         self.resting = dict[WorkerConnection, None]()  # free ones, that free for longest first
         self.ending = set[WorkerConnection]()  # told to close; the reactor's next turn does it
-        self.pools: dict[str, Pool] = {}
-        self.started: dict[str, float | None] = {}
+        self.places: dict[str, Place] = {}  # of all listed workers
+        self.pools: dict[str, Pool] = {}  # of those that were called, made at the first call
 
     def room_for_one(self) -> bool:
         """Say whether one more connection may be opened; the one free for longest gives way to it.
@@ -590,22 +597,27 @@
 
     def listed(self, name: str, address: str, started: float | None) -> None:
         """Take a worker's address; a changed one or a restart drops the pool."""
-        pool = self.pools.get(name)
-        if pool is None or pool.address != address or self.started.get(name) != started:
+        place = Place(address, started)
+        if self.places.get(name) != place:
             self.gone(name)
-            self.pools[name], self.started[name] = Pool(self, name, address), started
+            self.places[name] = place
+
+    def pool_of(self, name: str) -> Pool | None:
+        """Give a worker's pool, or None where it is not listed."""
+        pool = self.pools.get(name)
+        if pool is None and (place := self.places.get(name)) is not None:
+            pool = self.pools[name] = Pool(self, name, place.address)
+        return pool
 
     def renew(self, worker: str) -> None:
         """Drop the connections to a worker that was started anew; see ``core.Carrier``."""
-        pool = self.pools.get(worker)
-        if pool is not None:
+        if (pool := self.pools.pop(worker, None)) is not None:
             pool.close()
-            self.pools[worker] = Pool(self, worker, pool.address)
 
     def gone(self, name: str) -> None:
         """Drop the pool of a worker that the list no longer names."""
-        if (pool := self.pools.pop(name, None)) is not None:
-            pool.close()
+        self.places.pop(name, None)
+        self.renew(name)
 
     def outcome_of(self, message: http.Message) -> Outcome:
         """Read an answer that ends an attempt, by the protocol's table."""
@@ -642,7 +654,7 @@
     def send(self, worker: str, ask: Ask, budget: float, note: Callable[[float, str], None],
              barred: Callable[[], str | None]) -> Deferred[Outcome | None]:
         """Send a job; see ``core.Carrier``."""
-        pool = self.pools.get(worker)
+        pool = self.pool_of(worker)
         under_way: list[Carriage] = []
 
         def canceller(_: object) -> None:
@@ -678,7 +690,7 @@
     def recall(self, worker: str, cid: str, patient: bool = True) -> Deferred[bool]:
         """Tell a worker to give up a job that it has taken; see ``core.Carrier``."""
         done: Deferred[bool] = Deferred()
-        pool = self.pools.get(worker)
+        pool = self.pool_of(worker)
         if pool is None:
             done.callback(False)
             return done
@@ -700,7 +712,7 @@
     def probe(self, worker: str) -> Deferred[Outcome]:
         """Ask a worker how it stands; see ``core.Carrier``."""
         done: Deferred[Outcome] = Deferred()
-        pool = self.pools.get(worker)
+        pool = self.pool_of(worker)
         if pool is None:
             done.callback(Outcome(Ending.UNREACHABLE))
             return done
@@ -722,5 +734,5 @@
 
     def close(self) -> None:
         """Drop every pool."""
-        for name in list(self.pools):
+        for name in list(self.places):
             self.gone(name)
--- a/elderstall/rehearsal/station.py
+++ b/elderstall/rehearsal/station.py
@@ -156,7 +156,7 @@
         process = process or self.process
         if process is None or not process.alive:
             return
-        self.known = process.version, tuple(process.core.listing.values())
+        self.known = process.version, tuple(process.core.view.entries.values())
         self.process = None
         process.die()
         self.world.loop.after(back_in, self.start)
--- /dev/null
+++ b/elderstall/routing/view.py
@@ -0,0 +1,383 @@
+"""The fleet as one dispatcher sees it: all that is listed, and the part of it that the module works with.
+
+Discovery tells the list; operators lay bans over it; the rule on drains needs to know since when a worker is
+draining or gone; the module decides among workers. ``FleetView`` stands between these. It holds one compact
+entry a listed worker and hands the module what it needs:
+
+* In fleets up to `subset.SUBSET_LEAST` workers, the whole list and each change, as discovery told them.
+* In larger ones a subset (`routing/subset.py`) and what changes in it. A change elsewhere is a dictionary
+  update.
+
+What is gone is forgotten, once the rule on drains has no more use for it: a worker that is not known may not
+be sent to at all. So the state is bounded by what is listed, not by what ever was.
+
+No I/O, no clock: the time is handed in, in milliseconds. Nothing here raises on account of what a list says.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, OrderedDict
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field, replace
+
+from elderstall import interface as i
+from elderstall.interface import ListScope, WorkerState
+from elderstall.routing.reach import ZoneReach
+from elderstall.routing.subset import SLACK, Subset, subset_size
+
+GONE_FOR = 300_000.0  # ms for which a worker that is gone is remembered, as it may come back
+GONE_LEAST = 64  # of them are remembered at any size; else one for every GONE_PART listed ones
+GONE_PART = 4
+ENTER_PART = 1 / 8  # of the subset's size may enter it in a second, so that connections come up one by one
+ENTER_EVERY = 1_000.0  # ms between looks at those that wait to enter
+ENTRIES_MOST = 1_000_000  # of one list, where the memory limit is not known
+
+
+class Remembered:
+    """Names with the time of something, oldest first; bounded in number and age."""
+
+    def __init__(self) -> None:
+        self.since: OrderedDict[str, float] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self.since)
+
+    def add(self, name: str, now: float) -> None:
+        """Note a name; one that is there keeps its time."""
+        self.since.setdefault(name, now)
+
+    def discard(self, name: str) -> float | None:
+        """Leave a name out; gives its time if it was there."""
+        return self.since.pop(name, None)
+
+    def expire(self, now: float, most: int) -> list[str]:
+        """Leave out those that are too old, or too many, and give them."""
+        out = []
+        while self.since:
+            name, since = next(iter(self.since.items()))
+            if len(self.since) <= most and now - since <= GONE_FOR:
+                break
+            out.append(name)
+            del self.since[name]
+        return out
+
+
+@dataclass(slots=True)
+class ViewCounts:
+    """What operators are shown of the view; counts since the start."""
+
+    lists_refused: int = 0  # lists of more entries than the memory limit can hold
+    odd_entries: Counter[str] = field(default_factory=Counter)  # by what is odd
+    forgotten: int = 0  # workers that were gone, and are not remembered any more
+    entered: int = 0  # workers that came into the subset after it was first cut
+    left: int = 0  # workers that left it while they were up
+
+
+class FleetView:
+    """What is listed, banned, draining and gone, and which of it the module knows."""
+
+    def __init__(self, settings: i.Settings, entries_most: int = ENTRIES_MOST,
+                 log: Callable[[str, str], None] = lambda code, text: None) -> None:
+        self.settings, self.entries_most, self.log = settings, entries_most, log
+        self.entries: dict[str, i.Listed] = {}  # as discovery tells them; none that are gone
+        self.unavailable: dict[str, float] = {}  # listed, but draining or banned; since when
+        self.gone = Remembered()
+        self.banned: dict[str, float] = {}  # by hand; since when
+        self.put_back: dict[str, tuple[float, float]] = {}  # banned when, and until when
+        self.counts = ViewCounts()
+        self.subset: Subset | None = None  # None: the module knows the whole list
+        self.members: dict[str, None] = {}  # of the subset, as the module was told
+        self.closed = Remembered()  # workers that the module holds as gone or draining
+        self.waiting: dict[str, None] = {}  # to enter the subset
+        self.entered_at = 0.0  # when some last entered
+        self.reach = ZoneReach()
+        self.lost_zones: frozenset[str | None] = frozenset()
+
+    # ---- what is known of a worker ----
+
+    def knows(self, worker: str) -> bool:
+        """Say whether a worker is listed, or was until not long ago."""
+        return worker in self.entries or worker in self.gone.since
+
+    def state(self, worker: str) -> WorkerState:
+        """Give a worker's state, bans included; one that is not known is gone."""
+        entry = self.entries.get(worker)
+        return WorkerState.GONE if entry is None else self.shown(entry).state
+
+    def may_send(self, worker: str, now: float, within: float) -> bool:
+        """Say whether a worker is up, or was told draining or gone no longer than ``within`` ms ago."""
+        since = self.unavailable.get(worker)
+        if since is None:
+            if worker in self.entries:
+                return True
+            since = self.gone.since.get(worker)
+        return since is not None and now - since <= within
+
+    def shown(self, entry: i.Listed) -> i.Listed:
+        """Lay what operators have said over an entry: it holds whatever discovery lists in the meantime."""
+        worker = entry.worker
+        if worker in self.banned and entry.state is WorkerState.UP:
+            entry = replace(entry, state=WorkerState.DRAINING)
+        if worker in self.put_back:
+            since, until = self.put_back[worker]
+            if (entry.started or 0.0) < since:
+                # Guards rule 4: it was started anew while banned, but discovery's news of that comes late.
+                entry = replace(entry, started=until)
+        return entry
+
+    # ---- operators ----
+
+    def exclude(self, worker: str, now: float) -> bool:
+        """Ban a worker; say whether that is new."""
+        if worker in self.banned:
+            return False
+        self.banned[worker] = now
+        return True
+
+    def include(self, worker: str, now: float) -> bool:
+        """End a ban: the worker counts as started now; say whether there was one."""
+        since = self.banned.pop(worker, None)
+        if since is not None:
+            self.put_back[worker] = since, now
+        return since is not None
+
+    def refresh(self, worker: str, now: float) -> list[i.Event]:
+        """Have a worker's entry seen as it counts now; gives what the module is to be told."""
+        entry = self.entries.get(worker)
+        return [] if entry is None else self.take(now, ListScope.CHANGES, (entry,))
+
+    # ---- the list ----
+
+    def take(self, now: float, scope: ListScope, entries: tuple[i.Listed, ...] = ()) -> list[i.Event]:
+        """Take news of the list; gives what the module is to be told."""
+        if scope in (ListScope.FAILED, ListScope.SILENT):
+            return [i.WorkerList(scope)]
+        if not self.accepts(scope, entries):
+            return []  # the last good view goes on
+        shown = tuple(self.shown(entry) for entry in entries)
+        missing = self.missing_from(entries) if scope is ListScope.WHOLE else []
+        for worker in missing:
+            self.lose(worker, now)
+        changed = [entry.worker for entry, seen in zip(entries, shown, strict=True)
+                   if self.note(entry, seen, now)]
+        events = self.tell(now, scope, shown, missing + changed)
+        return events + self.forget(now)
+
+    def accepts(self, scope: ListScope, entries: tuple[i.Listed, ...]) -> bool:
+        """Look over a list; refuse one of more entries than the memory limit can hold."""
+        total = len(entries) + (0 if scope is ListScope.WHOLE else len(self.entries))
+        if len(entries) > self.entries_most or total > 2 * self.entries_most:
+            self.counts.lists_refused += 1
+            self.log("list", f"refused: {len(entries)} entries, memory holds {self.entries_most} at most")
+            return False
+        odd = Counter({"doubled name": len(entries) - len({e.worker for e in entries})})
+        if any(e.zone for e in entries):
+            odd["no zone"] = sum(not e.zone for e in entries)
+        if any(e.kind for e in entries):
+            odd["no kind"] = sum(not e.kind for e in entries)
+        if odd := +odd:
+            self.counts.odd_entries += odd
+            self.log("list", "taken, but " + ", ".join(f"{n} with {what}" for what, n in sorted(odd.items())))
+        return True
+
+    def missing_from(self, entries: Iterable[i.Listed]) -> list[str]:
+        """Name the workers that a whole list does not name any more."""
+        named = {entry.worker for entry in entries}
+        return [worker for worker in self.entries if worker not in named]
+
+    def lose(self, worker: str, now: float) -> None:
+        """Note that a worker is gone; from draining to gone the clock of the rule is not set back."""
+        if self.entries.pop(worker, None) is not None:
+            since = self.unavailable.pop(worker, now)
+            self.gone.add(worker, since)
+
+    def note(self, entry: i.Listed, seen: i.Listed, now: float) -> bool:
+        """Take one entry; say whether what counts of it has changed."""
+        worker, before = entry.worker, self.entries.get(entry.worker)
+        if seen.state is WorkerState.GONE:
+            self.lose(worker, now)
+            self.gone.add(worker, now)
+            return True
+        self.entries[worker] = entry
+        gone_since = self.gone.discard(worker)
+        if seen.state is WorkerState.UP:
+            was_up = self.unavailable.pop(worker, None) is None and before is not None
+            return not was_up or before != entry
+        self.unavailable.setdefault(worker, now if gone_since is None else gone_since)
+        return True
+
+    # ---- what the module is told ----
+
+    @property
+    def sharing(self) -> float:
+        """How many dispatchers share each worker of the subset; 0 where all dispatchers know all workers."""
+        if self.subset is None or not len(self.subset):
+            return 0.0
+        part = min(1.0, len(self.members) / len(self.subset))
+        return max(1.0, self.settings.dispatchers * part)
+
+    @property
+    def up(self) -> int:
+        """How many workers are up and not banned."""
+        return len(self.entries) - len(self.unavailable)
+
+    def tell(self, now: float, scope: ListScope, shown: tuple[i.Listed, ...], changed: list[str],
+             ) -> list[i.Event]:
+        """Give the module's part of a list that has been taken."""
+        size = subset_size(self.up, self.settings.dispatchers)
+        if self.subset is None and self.up <= size * (1 + SLACK):
+            for worker in changed:
+                self.note_closed(worker, now)
+            return [i.WorkerList(scope, shown)]
+        if self.subset is None or self.up <= size:
+            return [self.switch(now, size)]
+        return self.tell_subset(now, changed)
+
+    def note_closed(self, worker: str, now: float) -> None:
+        """Keep count of what the module holds as gone."""
+        if worker in self.entries:
+            self.closed.discard(worker)
+        else:
+            self.closed.add(worker, now)
+
+    def switch(self, now: float, size: int) -> i.Event:
+        """Go over from the whole list to a subset, or back; gives all that the module is to know."""
+        seen = {worker: self.shown(entry) for worker, entry in self.entries.items()}
+        self.waiting.clear()
+        if self.up <= size:
+            self.subset, self.members, told = None, {}, list(seen.values())
+            self.log("view", f"all of {len(seen)} workers")
+        else:
+            self.subset = self.new_subset()
+            wanted = self.subset.wanted()
+            told = [entry for worker, entry in seen.items() if worker in wanted]
+            self.members = dict.fromkeys(entry.worker for entry in told)
+            self.log("view", f"{len(told)} of {len(seen)} workers, size {size}, {self.sharing:.1f} sharers")
+        for worker in seen:
+            self.closed.add(worker, now)
+        for entry in told:
+            self.closed.discard(entry.worker)
+        self.entered_at = now
+        return i.WorkerList(ListScope.WHOLE, tuple(told))
+
+    def new_subset(self) -> Subset:
+        """Cut the subset of all that is up."""
+        s = self.settings
+        subset = Subset(s.rank, s.dispatchers, s.zone if s.crossing_price > 0 else None)
+        up = (entry for entry in self.entries.values() if entry.worker not in self.unavailable)
+        subset.fill((entry.worker, entry.kind, entry.zone) for entry in up)
+        return subset
+
+    def tell_subset(self, now: float, changed: list[str]) -> list[i.Event]:
+        """Bring the subset up to date; gives what has changed in it, if anything has."""
+        told: list[i.Listed] = []
+        recut = False
+        for worker in dict.fromkeys(changed):
+            recut |= self.place(worker)
+            if worker in self.members:
+                told.append(self.entry_of(worker))
+                if self.state(worker) is not WorkerState.UP:
+                    del self.members[worker]
+                    self.closed.add(worker, now)
+        if recut:
+            told += self.recut(now)
+        told += self.enter(now)
+        return [i.WorkerList(ListScope.CHANGES, tuple(told))] if told else []
+
+    def entry_of(self, worker: str) -> i.Listed:
+        """Give a worker's entry as it counts now, also of one that is gone."""
+        entry = self.entries.get(worker)
+        return self.shown(entry) if entry is not None else i.Listed(worker, state=WorkerState.GONE)
+
+    def place(self, worker: str) -> bool:
+        """Put a worker on the subset's rings, or take it off; say whether the subset may have changed."""
+        assert self.subset is not None
+        entry = self.entries.get(worker)
+        on_rings = worker in self.subset.places
+        if entry is not None and worker not in self.unavailable:
+            return not on_rings and self.subset.add(worker, entry.kind, entry.zone)
+        return on_rings and self.subset.remove(worker)
+
+    def recut(self, now: float) -> list[i.Listed]:
+        """Have workers wait to enter that the subset now wants; gives those that leave what is too many."""
+        assert self.subset is not None
+        wanted = self.subset.wanted()
+        self.waiting = {worker: None for worker in wanted if worker not in self.members}
+        unwanted = [worker for worker in self.members if worker not in wanted]
+        over = len(self.members) + len(self.waiting) - len(wanted)
+        if over <= SLACK * len(wanted):
+            return []
+        leaving = unwanted[:over]
+        for worker in leaving:
+            del self.members[worker]
+            self.closed.add(worker, now)
+        self.counts.left += len(leaving)
+        return [replace(self.entry_of(worker), state=WorkerState.GONE) for worker in leaving]
+
+    def enter(self, now: float) -> list[i.Listed]:
+        """Let workers in that wait for it, a bounded number a second."""
+        assert self.subset is not None
+        if not self.waiting:
+            return []
+        most = max(1.0, ENTER_PART * self.subset.size)
+        allowed = int(min(1.0, (now - self.entered_at) / ENTER_EVERY) * most)
+        entering = list(self.waiting)[:allowed]
+        for worker in entering:
+            del self.waiting[worker]
+            self.members[worker] = None
+            self.closed.discard(worker)
+        if entering:
+            self.entered_at = now
+        self.counts.entered += len(entering)
+        return [self.entry_of(worker) for worker in entering]
+
+    # ---- time ----
+
+    @property
+    def due(self) -> float | None:
+        """When ``settle`` is to be called, if it is; ms."""
+        return self.entered_at + ENTER_EVERY if self.waiting else None
+
+    def settle(self, now: float) -> list[i.Event]:
+        """Let in who waits; gives what the module is to be told."""
+        if self.subset is None or not (told := self.enter(now)):
+            return []
+        return [i.WorkerList(ListScope.CHANGES, tuple(told))]
+
+    def retune(self, settings: i.Settings, now: float) -> list[i.Event]:
+        """Take new settings; gives what the module is to be told where they make the subset another one."""
+        old, self.settings = self.settings, settings
+        same = all(getattr(old, name) == getattr(settings, name)
+                   for name in ("rank", "dispatchers", "zone", "crossing_price"))
+        size = subset_size(self.up, settings.dispatchers)
+        if same or (self.subset is None and self.up <= size * (1 + SLACK)):
+            return []
+        return [self.switch(now, size)]
+
+    def forget(self, now: float) -> list[i.Event]:
+        """Forget what has been gone for long, here and in the module."""
+        most = max(GONE_LEAST, len(self.entries) // GONE_PART)
+        forgotten = self.gone.expire(now, most)
+        self.counts.forgotten += len(forgotten)
+        for worker in forgotten:
+            if worker not in self.banned:
+                self.put_back.pop(worker, None)
+        known = len(self.entries) if self.subset is None else len(self.members)
+        closed = self.closed.expire(now, max(GONE_LEAST, known // GONE_PART))
+        return [i.WorkersForgotten(tuple(closed))] if closed else []
+
+    # ---- reach ----
+
+    def ended(self, worker: str, ending: i.Ending, now: float) -> list[i.Event]:
+        """Learn from an attempt's end whether its worker's zone is in reach; gives news for the module."""
+        entry = self.entries.get(worker)
+        if self.subset is None or entry is None:
+            return []
+        lost = self.reach.ended(worker, entry.zone, ending, now)
+        if lost == self.lost_zones:
+            return []
+        self.lost_zones = lost
+        self.log("view", f"{len(lost)} zones out of reach" if lost else "all zones in reach")
+        self.subset.lose(set(lost))
+        told = self.recut(now) + self.enter(now)
+        return [i.WorkerList(ListScope.CHANGES, tuple(told))] if told else []
--- a/elderstall/succession.py
+++ b/elderstall/succession.py
@@ -1,4 +1,4 @@
-"""How a dispatcher goes on under new settings or as a new process: state as plain data, no decision."""
+"""How a dispatcher goes on under new settings or as a new process, and what it forgets; no decision."""
 
 from __future__ import annotations
 
@@ -64,3 +64,24 @@
     for job in held:
         (d.finish if job.sent >= d.s.max_attempts else d.hold)(job)
     d.pump()
+
+
+class Forgetting:
+    """Forgets workers that are gone for good, once no question and no attempt is out there."""
+
+    def __init__(self, dispatcher: Dispatcher) -> None:
+        self.dispatcher = dispatcher
+        self.names: set[str] = set()  # still to be forgotten
+
+    def __call__(self, e: i.WorkersForgotten) -> None:
+        """Take names, and forget all that can be forgotten now."""
+        self.names.update(e.workers)
+        workers = self.dispatcher.workers
+        for name in sorted(self.names):
+            worker = workers.get(name)
+            if worker is None or worker.open:
+                self.names.discard(name)
+            elif not (worker.used or worker.asked):
+                self.names.discard(name)
+                del workers[name]
+                self.dispatcher.unproved.pop(name, None)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -401,9 +401,9 @@
         self.tell(50, whole=True, w1="draining", w2="up")
         self.tell(49, whole=True, w1="up", w2="up")
         self.tell(48, w1="up")
-        self.assertEqual("draining", self.app.core.workers["w1"].state.value)
+        self.assertEqual("draining", self.app.core.view.state("w1").value)
         self.tell(51, w1="up")
-        self.assertEqual("up", self.app.core.workers["w1"].state.value)
+        self.assertEqual("up", self.app.core.view.state("w1").value)
 
     def test_a_new_watch_may_begin_with_a_whole_list_of_a_lower_version(self) -> None:
         self.begin(workers=2)
@@ -412,7 +412,7 @@
         self.wait(300)
         self.until(lambda: len(self.asked_lists()) == 2)
         self.tell(3, whole=True, w1="draining", w2="up")
-        self.assertEqual("draining", self.app.core.workers["w1"].state.value)
+        self.assertEqual("draining", self.app.core.view.state("w1").value)
 
     def test_a_watch_still_being_opened_at_the_end_is_given_up(self) -> None:
         self.begin()
@@ -578,7 +578,7 @@
             quiet += 50
             self.assertLess(quiet, 6_000 - 500)
         self.tell(60, whole=True, w1="draining", w2="up")
-        self.assertEqual("draining", self.app.core.workers["w1"].state.value)
+        self.assertEqual("draining", self.app.core.view.state("w1").value)
 
     FLEETS: tuple[dict[str, Any], ...] = (
         {}, {"balancers": 200}, {"discovery": "automatic", "balancers": 200})
@@ -596,7 +596,7 @@
 
     def told_on_the_newest_call(self) -> None:
         self.tell(60, whole=True, w1="draining", w2="up")
-        self.assertEqual("draining", self.app.core.workers["w1"].state.value)
+        self.assertEqual("draining", self.app.core.view.state("w1").value)
 
     def test_a_watch_and_the_call_after_it_are_both_silent(self) -> None:
         """What the watch misses counts as told 6 s after its last line, whatever becomes of the next call."""
@@ -731,7 +731,7 @@
                     if len(self.asked_lists()) > called:
                         break
                 self.tell(60, whole=True, w1="draining", w2="up")
-                self.assertEqual("draining", self.app.core.workers["w1"].state.value)
+                self.assertEqual("draining", self.app.core.view.state("w1").value)
                 crowd += self.idle_clients(self.SOCKETS)
                 self.wait(1_000)
                 self.assertFalse(self.watches[-1].ended)
--- /dev/null
+++ b/tests/test_subset.py
@@ -0,0 +1,200 @@
+"""The subset of a large fleet that one dispatcher works with: even, small moves, bounded widening."""
+
+from __future__ import annotations
+
+import unittest
+from collections import Counter
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from elderstall.interface import Ending
+from elderstall.routing.reach import SEEN_FOR, WORKERS_LEAST, ZoneReach
+from elderstall.routing.subset import (
+    KIND_LEAST,
+    REPLICAS,
+    SLACK,
+    SUBSET_LEAST,
+    WIDEN_MOST,
+    Arc,
+    Ring,
+    Subset,
+    point,
+    subset_size,
+)
+
+NAMES = [f"s-{n * 2654435761 % 2**32:08x}" for n in range(6_000)]
+Fleet = list[tuple[str, str, str | None]]
+
+
+def fleet(count: int, kinds: int = 4, zones: int = 40) -> Fleet:
+    return [(NAMES[n], f"kind-{n % kinds}", f"zone-{n % zones}") for n in range(count)]
+
+
+def subset_of(workers: Fleet, rank: int = 3, dispatchers: int = 60, home: str | None = None) -> Subset:
+    subset = Subset(rank, dispatchers, home)
+    subset.fill(workers)
+    return subset
+
+
+class Sizes(unittest.TestCase):
+    def test_up_to_1024_it_is_the_whole_fleet(self) -> None:
+        for dispatchers in (1, 8, 40, 23_000):
+            self.assertGreaterEqual(subset_size(SUBSET_LEAST, dispatchers), SUBSET_LEAST)
+        self.assertEqual(SUBSET_LEAST, subset_size(100, 40))
+
+    def test_each_worker_has_so_many_holders_at_least(self) -> None:
+        for workers, dispatchers in ((23_000, 230), (23_000, 100), (5_000, 10), (23_000, 23_000)):
+            size = subset_size(workers, dispatchers)
+            self.assertGreaterEqual(size * dispatchers, REPLICAS * workers)
+
+
+class Evenness(unittest.TestCase):
+    """Over all dispatchers, with the ring shared among them as it is the same at each."""
+
+    def holders(self, workers: int, dispatchers: int, length: int) -> Counter[str]:
+        ring = Ring(NAMES[:workers])
+        held: Counter[str] = Counter(dict.fromkeys(NAMES[:workers], 0))
+        for rank in range(dispatchers):
+            arc = Arc(ring, point(rank), length)
+            arc.cut(lambda name: False)
+            held.update(arc.members)
+        return held
+
+    def test_holders_of_a_worker_are_nearly_as_many_for_each(self) -> None:
+        for dispatchers in (230, 500):
+            held = self.holders(5_000, dispatchers, 500)
+            mean = dispatchers * 500 / 5_000
+            self.assertLessEqual(max(held.values()), 1.25 * mean)
+            self.assertGreaterEqual(min(held.values()), 0.75 * mean)
+
+
+class Moves(unittest.TestCase):
+    def test_one_workers_change_moves_one_entry_at_its_holders_and_none_elsewhere(self) -> None:
+        workers = fleet(3_000, kinds=1)
+        moved = holders = 0
+        for rank in range(40):
+            subset = subset_of(workers, rank, 40)
+            before = subset.wanted()
+            self.assertEqual(workers[7][0] in before, subset.remove(workers[7][0]))
+            after = subset.wanted()
+            moved += len(before ^ after)
+            holders += workers[7][0] in before
+        self.assertEqual(2 * holders, moved)  # out, and the next one in
+        self.assertLess(holders, 40)
+
+    def test_one_dispatcher_more_moves_nothing_at_the_others_while_the_size_stays(self) -> None:
+        workers = fleet(3_000)
+        for rank in range(5):
+            self.assertEqual(subset_of(workers, rank, 60).wanted(), subset_of(workers, rank, 61).wanted())
+
+    @settings(max_examples=30, deadline=None)
+    @given(st.lists(st.integers(0, 1_599), max_size=60), st.integers(0, 59))
+    def test_changes_one_by_one_come_to_the_same_as_a_fresh_start(
+            self, toggles: list[int], rank: int) -> None:
+        workers = fleet(1_600)
+        there = dict.fromkeys(range(1_500))
+        subset = subset_of(workers[:1_500], rank, home="zone-2")
+        before = subset.wanted()
+        for n in toggles:
+            name, kind, zone = workers[n]
+            if n in there:
+                del there[n]
+                changed = subset.remove(name)
+            else:
+                there[n] = None
+                changed = subset.add(name, kind, zone)
+            after = subset.wanted()
+            self.assertTrue(changed or before == after)
+            before = after
+        fresh = subset_of([workers[n] for n in there], rank, home="zone-2")
+        if subset.sized_for == fresh.sized_for:
+            self.assertEqual(fresh.wanted(), before)
+        else:  # sizes are worked out anew only when the fleet has changed by more than the slack
+            self.assertLessEqual(abs(subset.sized_for - len(there)), SLACK * subset.sized_for)
+            self.assertLessEqual(len(fresh.wanted() ^ before), len(toggles) + 4)
+
+
+class Present(unittest.TestCase):
+    def test_each_kind_and_the_own_zone_are_there(self) -> None:
+        workers = fleet(5_000, kinds=1) + [(f"rare-{n}", "rare", "zone-1") for n in range(30)]
+        subset = subset_of(workers, home="zone-5")
+        wanted = subset.wanted()
+        self.assertEqual(30, sum(name.startswith("rare") for name in wanted))
+        own = [name for name, _, zone in workers if name in wanted and zone == "zone-5"]
+        self.assertGreaterEqual(len(own), KIND_LEAST)
+        self.assertLessEqual(len(wanted), subset.size + 2 * KIND_LEAST + 2)
+
+    def test_many_kinds_do_not_make_it_larger_without_a_bound(self) -> None:
+        subset = subset_of(fleet(5_000, kinds=500))
+        self.assertLessEqual(len(subset.wanted()), subset.size + 500)
+
+
+class Widening(unittest.TestCase):
+    def test_for_each_worker_out_of_reach_one_is_taken_that_is_not(self) -> None:
+        workers = fleet(5_000, kinds=1)
+        subset = subset_of(workers)
+        usual = subset.wanted()
+        subset.lose({"zone-1", "zone-2"})
+        lost = {name for name, _, zone in workers if zone in ("zone-1", "zone-2")}
+        extra = subset.wanted() - usual
+        self.assertEqual(len(usual & lost), len(extra))
+        self.assertEqual(set(), extra & lost)
+        self.assertEqual(len(extra), subset.widened)
+        subset.lose(set())
+        self.assertEqual(usual, subset.wanted())
+        self.assertEqual(0, subset.widened)
+
+    def test_it_is_bounded_and_reaches_the_part_that_is_left_when_regions_part(self) -> None:
+        workers = fleet(6_000, kinds=1)
+        subset = subset_of(workers, dispatchers=600)
+        usual = len(subset.wanted())
+        subset.lose({f"zone-{n}" for n in range(36)})  # nine in ten
+        left = {name for name, _, zone in workers if zone in {f"zone-{n}" for n in range(36, 40)}}
+        self.assertLessEqual(len(subset.wanted()), WIDEN_MOST * usual)
+        self.assertEqual(left, left & subset.wanted())  # 600: all there are, of the 1,024 that it would take
+        subset.lose({f"zone-{n}" for n in range(40)})
+        self.assertEqual(usual, len(subset.wanted()))
+
+    def test_dispatchers_do_not_all_fall_on_the_same_workers(self) -> None:
+        ring = Ring(NAMES[:5_000])
+        lost = frozenset(NAMES[:5_000:10])  # a tenth
+        extra: Counter[str] = Counter()
+        for rank in range(250):
+            arc = Arc(ring, point(rank), 500)
+            arc.cut(lambda name: False)
+            usual = arc.members
+            arc.cut(lost.__contains__)
+            extra.update(arc.members - usual)
+        self.assertGreater(len(extra), 0.8 * 4_500)
+        self.assertLessEqual(max(extra.values()), 3 * sum(extra.values()) / 4_500)
+
+
+class Reach(unittest.TestCase):
+    def fails(self, reach: ZoneReach, *workers: str, now: float = 0.0) -> frozenset[str | None]:
+        for worker in workers:
+            reach.ended(worker, "a", Ending.UNREACHABLE, now)
+        return reach.lost
+
+    def test_one_worker_however_often_says_nothing_of_its_zone(self) -> None:
+        self.assertEqual(frozenset(), self.fails(ZoneReach(), *["w1"] * 20))
+
+    def test_several_in_a_row_do_until_one_answers(self) -> None:
+        reach = ZoneReach()
+        self.assertEqual({"a"}, self.fails(reach, "w1", "w2", "w3"))
+        for nothing in (Ending.CANCELLED, Ending.NEVER_SENT, Ending.TIMED_OUT, Ending.CUT):
+            self.assertEqual({"a"}, reach.ended("w4", "a", nothing, 1.0))
+        self.assertEqual({"a"}, reach.ended("v1", "b", Ending.SERVED, 1.0))
+        self.assertEqual(frozenset(), reach.ended("w1", "a", Ending.FULL, 2.0))
+        self.assertEqual(frozenset(), self.fails(reach, "w1", "w2"))
+
+    def test_failures_long_ago_do_not_count_and_what_is_kept_is_bounded(self) -> None:
+        reach = ZoneReach()
+        self.fails(reach, "w1", "w2")
+        self.assertEqual(frozenset(), self.fails(reach, "w3", now=SEEN_FOR + 1.0))
+        self.fails(reach, *NAMES[:500], now=SEEN_FOR + 2.0)
+        self.assertEqual(WORKERS_LEAST, len(reach.failing["a"]))
+
+
+if __name__ == "__main__":
+    unittest.main()
