--- /dev/null
+++ b/benchmarks/scale/__main__.py
@@ -0,0 +1,3 @@
+from benchmarks.scale.cli import main
+
+main()
