Ask workers in turn without sorting all own ones for each job

Where workers are asked before a job goes, all of a dispatcher's own workers were sorted for each round of asking, to take three. Also: python -m benchmarks.scale.play, many dispatchers in the emulator.

--- a/benchmarks/scale/cli.py
+++ b/benchmarks/scale/cli.py
@@ -11,7 +11,7 @@
 from rich.progress import Progress
 
 from benchmarks.scale.fit import Row
-from benchmarks.scale.measures import MEASURES, Size
+from benchmarks.scale.measures import MEASURES, Size, know_all_workers
 from benchmarks.scale.report import Series, plot, save, show
 
 SIZES = "200,1000,4000,23000"
@@ -40,6 +40,9 @@
 @click.option("--dispatchers", default=230, show_default=True)
 @click.option("--teams", default=0, show_default=True)
 @click.option("--classes", default=3, show_default=True)
+@click.option(
+    "--whole", is_flag=True, help="Have dispatchers know all workers: what a subset is compared with."
+)
 @click.option("--repeats", default=3, show_default=True)
 @click.option("--json", "json_path", type=click.Path(path_type=Path), help="Write the series to a file.")
 @click.option("--plots", type=click.Path(path_type=Path), help="Draw them into a folder.")
@@ -51,11 +54,14 @@
     dispatchers: int,
     teams: int,
     classes: int,
+    whole: bool,
     repeats: int,
     json_path: Path | None,
     plots: Path | None,
 ) -> None:
     """Measure what one dispatcher costs as the fleet grows."""
+    if whole:
+        know_all_workers()
     base = Size(workers, dispatchers, teams, classes)
     values = [float(value) for value in sizes.split(",")]
     chosen = measures or tuple(name for name in MEASURES if name != "churn")
--- a/benchmarks/scale/measures.py
+++ b/benchmarks/scale/measures.py
@@ -14,6 +14,7 @@
 from benchmarks.scale.hollow import HollowDispatcher, settings_of
 from elderstall import interface as i
 from elderstall.net.discovery import list_of
+from elderstall.routing import subset
 
 IDLE = 60_000.0  # ms
 CHANGES = 20  # of each kind, of which the mean is taken
@@ -32,6 +33,11 @@
     days: float = 1.0
 
 
+def know_all_workers() -> None:
+    """Have every dispatcher of this process know all workers, whatever the fleet's size."""
+    subset.SUBSET_LEAST = 10**9
+
+
 def dispatcher_of(size: Size) -> HollowDispatcher:
     """Start one with the whole fleet listed."""
     return HollowDispatcher(settings_of(size.dispatchers, size.teams, size.classes), entries(size.workers))
--- /dev/null
+++ b/benchmarks/scale/play.py
@@ -0,0 +1,162 @@
+"""Plays with many dispatchers in the emulator: load of workers, service, recovery, broken rules.
+
+    python -m benchmarks.scale.play --workers 4000 --dispatchers 40 [--whole] [--trouble zone|regions]
+
+Jobs are fewer and longer than the target's, so that one machine plays them: as many run at once.
+"""
+
+from __future__ import annotations
+
+import json
+import time
+from pathlib import Path
+from typing import Any
+
+import click
+import numpy as np
+
+from benchmarks.scale.fleets import REGIONS, ZONES, name_of, zone_of
+from benchmarks.scale.measures import know_all_workers
+from elderstall import interface as i
+from elderstall.rehearsal import script as s
+from elderstall.rehearsal.world import World
+
+WORK = 20_000.0  # ms, mean: at the target tasks run 9 s, and ten times as many start
+BUSY = 0.43  # of the fleet's slots, at the rate that follows
+WARM = 1.5  # times the mean work, before anything is counted
+KIND = s.Kind("box", cores=2, slots=2, queue=4, cold_for=6_000.0, connections=600)
+CLASSES = (
+    s.ClassLoad(i.JobClass("batch", 2.0, 10_000.0, 120_000.0, stretch=1.5), 6.0, WORK, 0.5),
+    s.ClassLoad(i.JobClass("train", 5.0, 10_000.0, 120_000.0, i.Effect.UNSAFE, stretch=1.5), 3.0, WORK, 0.5),
+    s.ClassLoad(
+        i.JobClass("urgent", 10.0, 4_500.0, 60_000.0, i.Effect.UNSAFE, stretch=1.2), 1.0, WORK / 2, 0.5
+    ),
+)
+
+
+def night_of(workers: int, dispatchers: int, seconds: float, unequal: float, trouble: str) -> s.Night:
+    """Describe a play; the busiest dispatcher gets up to ``unequal`` times what the idlest does."""
+    fleet = tuple(s.Worker(name_of(n), KIND.name, zone_of(n), n // 4, 1.0) for n in range(workers))
+    weights = tuple(unequal ** (n * 0.618034 % 1) for n in range(dispatchers))
+    rate = BUSY * workers * KIND.slots * 1000 / (WORK * 0.95)
+    length = seconds * 1000
+    return s.Night(
+        f"{workers} workers, {dispatchers} dispatchers",
+        length,
+        s.Traffic(rate),
+        (KIND,),
+        fleet,
+        CLASSES,
+        troubles=troubles_of(trouble, workers, dispatchers, length),
+        dispatchers=s.Dispatchers(weights),
+        reports=s.Reports(asked=True),
+        clients=s.Clients(retries=0.0, impatient=0.0),
+        tail=60_000.0,
+        listing=s.Listing(lines_per_second=1e7),
+        rules=s.Rules(cold_for=6_000.0, cpu_per_second=0.0, cpu_per_job=0.0),
+    )
+
+
+def troubles_of(trouble: str, workers: int, dispatchers: int, length: float) -> tuple[s.Trouble, ...]:
+    """Lose one zone for a third of the play, or cut every region off from the others for a third."""
+    at, lasts = length / 2, length / 3
+    if trouble == "zone":
+        lost = tuple(name_of(n) for n in range(workers) if n % ZONES == 1)
+        return (s.Trouble("vanish", at, lasts, workers=lost),)
+    if trouble == "regions":
+        return tuple(
+            s.Trouble(
+                "cut-off",
+                at,
+                lasts,
+                workers=tuple(name_of(n) for n in range(workers) if n % ZONES % REGIONS != region),
+                dispatchers=tuple(
+                    f"n{rank + 1}" for rank in range(dispatchers) if rank % ZONES % REGIONS == region
+                ),
+            )
+            for region in range(REGIONS)
+        )
+    return ()
+
+
+def loads(world: World) -> np.ndarray[Any, Any]:
+    """Give the time that each worker has been busy so far, ms."""
+    return np.array([machine.model.ledger.busy for machine in world.machines.values()])
+
+
+def recovery(windows: list[dict[str, Any]], at: float) -> dict[str, Any]:
+    """Say how deep service fell from a time on, and after how many seconds it was back within 0.02."""
+    before = [w["service"] for w in windows if at / 2 <= w["from_s"] < at - 5 and w["service"] is not None]
+    usual = float(np.mean(before)) if before else 0.0
+    after = [w for w in windows if w["from_s"] >= at - 5 and w["service"] is not None]
+    low = [w["from_s"] for w in after if w["service"] < usual - 0.02]
+    return {
+        "usual": round(usual, 4),
+        "lowest": min((w["service"] for w in after), default=None),
+        "back_after_s": round(max(low) + 5 - at, 1) if low else 0.0,
+    }
+
+
+def play(night: s.Night) -> dict[str, Any]:
+    """Play, and give what is asked of it."""
+    world = World(night, 1)
+    marked: list[np.ndarray[Any, Any]] = []
+    world.loop.at(WARM * WORK, lambda: marked.append(loads(world)))
+    started = time.process_time()
+    figures = world.play()
+    busy = loads(world) - (marked[0] if marked else 0.0)
+    views = [station.process.core.view for station in world.stations if station.process is not None]
+    held = [len(view.members) if view.subset is not None else len(view.entries) for view in views]
+    trouble = min((t.at for t in night.troubles), default=None)
+    return {
+        "workers": len(night.workers),
+        "dispatchers": len(views),
+        "in_view": int(np.median(held)),
+        "requests": figures["requests"],
+        "service": figures["service"],
+        "broken": figures["rules"]["broken"],
+        "rules": figures["rules"]["first"][:3],
+        "probes": figures["probes"],
+        "connections": figures["connections"],
+        "endings": figures["endings"],
+        "load_largest_over_mean": round(float(busy.max() / busy.mean()), 3),
+        "load_p99_over_mean": round(float(np.quantile(busy, 0.99) / busy.mean()), 3),
+        "idle_workers": int((busy == 0).sum()),
+        "recovery": None if trouble is None else recovery(figures["windows"], trouble / 1000),
+        "widened": sum(0 if view.subset is None else view.subset.widened for view in views),
+        "entered": sum(view.counts.entered for view in views),
+        "left": sum(view.counts.left for view in views),
+        "cpu_s": round(time.process_time() - started, 1),
+    }
+
+
+@click.command(help=__doc__)
+@click.option("--workers", default=4_000, show_default=True)
+@click.option("--dispatchers", default=40, show_default=True)
+@click.option("--seconds", default=90.0, show_default=True)
+@click.option(
+    "--unequal", default=6.0, show_default=True, help="Traffic of the busiest dispatcher over the idlest's."
+)
+@click.option("--trouble", type=click.Choice(["none", "zone", "regions"]), default="none", show_default=True)
+@click.option("--whole", is_flag=True, help="Have dispatchers know all workers.")
+@click.option("--json", "json_path", type=click.Path(path_type=Path))
+def main(
+    workers: int,
+    dispatchers: int,
+    seconds: float,
+    unequal: float,
+    trouble: str,
+    whole: bool,
+    json_path: Path | None,
+) -> None:
+    """Play one size."""
+    if whole:
+        know_all_workers()
+    result = play(night_of(workers, dispatchers, seconds, unequal, trouble))
+    click.echo(json.dumps(result, indent=1))
+    if json_path is not None:
+        json_path.write_text(json.dumps(result))
+
+
+if __name__ == "__main__":
+    main()
--- a/elderstall/choice.py
+++ b/elderstall/choice.py
@@ -11,6 +11,7 @@
 from collections import defaultdict
 from collections.abc import Callable, Iterable
 from functools import partial
+from itertools import chain, islice
 from typing import Any
 
 from elderstall import interface as i
@@ -461,7 +462,8 @@
         if self.asks and not late and job.ran_on is None:
             if not job.sent and self.rng.random() < self.pressure.refuses(job.worth):
                 # Guards what is worth more from the queues that a full fleet's workers would fill for all.
-                self.ask([w for *_, w in self.own_turns(0) if w.skip_until < self.now][:1])
+                ready = (w for w in self.rotations.turns(NEAR, 0) if w.skip_until < self.now)
+                self.ask(list(islice(ready, 1)))
                 self.finish(job, "full fleet")
                 return
             if self.ask_around(job):
@@ -471,11 +473,6 @@
         else:
             self.hold(job)
 
-    def own_turns(self, home: int) -> list[tuple[bool, float, int, str, Worker]]:
-        """Give our own workers in the order of their turns, but the next of the job's pool first."""
-        first = self.rotations[home].groups[NEAR][:1]
-        return sorted((e not in first, *e) for rotation in self.rotations.of for e in rotation.groups[NEAR])
-
     def ask(self, ws: Iterable[Worker]) -> None:
         """Ask workers that have not told just now; to be asked is a turn, or full ones would stay first."""
         for w in ws:
@@ -489,10 +486,12 @@
         """Ask the next of our own workers how they stand: what we see by ourselves is too little."""
         pool = self.rng.choices(range(self.tiers), self.shares[job.tier])[0]
         job.passed, job.asked, job.rounds = job.passed + job.asked, [], job.rounds + 1
-        for w in self.lane.first(job, self.rng) + [entry[-1] for entry in self.own_turns(pool)]:
+        for w in chain(self.lane.first(job, self.rng), self.rotations.turns(NEAR, pool)):
             known = w.free < FREE_LEAST and self.now - w.told < FULL_FOR or w in job.passed + job.asked
-            if len(job.asked) < ASKED and not known and self.has_room(w, job):
+            if not known and self.has_room(w, job):
                 job.asked.append(w)
+                if len(job.asked) == ASKED:
+                    break
         if not job.asked:
             return False
         self.asking[job.id], job.asked_at = job, self.now
--- a/elderstall/rotation.py
+++ b/elderstall/rotation.py
@@ -9,6 +9,7 @@
 from bisect import bisect_left, insort
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
+from heapq import merge
 
 from elderstall.records import Worker
 
@@ -66,6 +67,14 @@
     def __getitem__(self, pool: int) -> Rotation:
         return self.of[pool]
 
+    def turns(self, group: int, first_of: int) -> Iterator[Worker]:
+        """Give a group's workers of all pools in the order of their turns, but the next of one pool first."""
+        first = self.of[first_of].groups[group][:1]
+        yield from (entry[-1] for entry in first)
+        for entry in merge(*(rotation.groups[group] for rotation in self.of)):
+            if entry not in first:
+                yield entry[-1]
+
     def move(self, w: Worker) -> None:
         """Note that a worker's turn, or what it has of ours, has changed."""
         filed = self.group(w), w.turn
