--- a/benchmarks/scale/hollow.py
+++ b/benchmarks/scale/hollow.py
@@ -9,9 +9,10 @@
 
 from benchmarks.scale.fleets import EPOCH
 from elderstall import interface as i
-from elderstall.core import Answer, Ask, Core, Outcome
+from elderstall.core import Core
 from elderstall.deadlines import Deadlines
 from elderstall.log import Log
+from elderstall.messages import Answer, Ask, Outcome
 from elderstall.rehearsal.loop import VirtualTime
 
 MEAN_WORK = 300.0  # ms
--- a/elderstall/core.py
+++ b/elderstall/core.py
@@ -7,10 +7,10 @@
 from __future__ import annotations
 
 import math
-from collections import Counter, OrderedDict, deque
+from collections import OrderedDict, deque
 from collections.abc import Callable
 from dataclasses import asdict, dataclass, field, replace
-from typing import Any, Protocol
+from typing import Any
 
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
@@ -18,8 +18,10 @@
 from elderstall import interface as i
 from elderstall.choice import Dispatcher
 from elderstall.deadlines import Deadline, Deadlines
+from elderstall.figures import Figures
 from elderstall.interface import Effect, Ending, ListScope, Scope, WorkerState
 from elderstall.log import Log
+from elderstall.messages import Answer, Ask, Carrier, Client, Failed, Outcome, Refused, Served
 from elderstall.routing.view import ENTRIES_MOST, FleetView
 from elderstall.slots import SLOT_MASK, Slots
 
@@ -29,121 +31,6 @@
 DRAIN_PART = 0.75  # of the time that the rule on drains allows; after that the core itself sends nothing
 
 
-@dataclass(slots=True, frozen=True)
-class Ask:
-    """A job as a front took it. The parcel is the front's own matter and passes through unread."""
-
-    cid: str  # the client's id, as text
-    job_class: str
-    budget: float  # ms from now that the client waits
-    parcel: object
-    tenant: str | None = None
-    key: str | None = None
-    work_hint: float | None = None
-    slots: int = 1
-    repeatable: bool = False  # running it twice does no harm
-
-
-@dataclass(slots=True, frozen=True)
-class Served:
-    """Final answer: a worker's result."""
-
-    result: bytes
-
-
-@dataclass(slots=True, frozen=True)
-class Refused:
-    """Final answer: turned down, trying again is harmless."""
-
-    retry_after: float = 0.0  # ms
-
-
-@dataclass(slots=True, frozen=True)
-class Failed:
-    """Final answer: failed, with no promise about what has run."""
-
-    late: bool = False  # whether time ran out
-
-
-Answer = Served | Refused | Failed
-
-
-@dataclass(slots=True, frozen=True)
-class Outcome:
-    """How an attempt ended, as a carrier saw it."""
-
-    ending: Ending
-    result: bytes = b""
-    report: tuple[float, ...] = ()
-    unclear: bool = False  # the worker may have taken the job, unseen: it is told to give it up
-    spoke: bool = False  # it had begun to answer: without its word the job goes nowhere else
-
-
-@dataclass(slots=True)
-class Figures:
-    """What operators are shown: counts since the start, and how things stand."""
-
-    classes: list[str] = field(default_factory=list)  # every class that was ever known, in order
-    served: Counter[str] = field(default_factory=Counter)  # by class, as are the next two
-    refused: Counter[str] = field(default_factory=Counter)
-    failed: Counter[str] = field(default_factory=Counter)
-    reasons: Counter[tuple[str, str]] = field(default_factory=Counter)  # of refusals and failures, by class
-    tries: int = 0  # attempts whose last byte was written
-    probes: int = 0  # questions put to workers
-    loads: int = 0  # files taken at SIGHUP
-    load_errors: int = 0  # files turned down
-    jobs: int = 0
-    listed: int = 0
-    avoided: int = 0
-    in_view: int = 0  # workers that the module knows: all that are listed, or a subset of them
-    widened: int = 0  # of them, those taken for others that are out of reach
-    zones_lost: int = 0  # zones out of reach, as attempts show
-    lists_refused: int = 0  # lists of more entries than the memory limit can hold
-    odd_entries: int = 0  # entries with no zone or kind where others have one, or with a doubled name
-    forgotten: int = 0  # workers that were gone, and are not remembered any more
-    list_calls: int = 0  # calls for the list that went out to discovery
-    list_failed: int = 0  # of them, and of watches, those that ended with no list
-    list_age: float = -1.0  # ms since discovery last told anything; -1: not since the start
-    heard_at: float = -1.0  # when it did, ms
-
-
-class Client(Protocol):
-    """Whoever waits for a job's answer."""
-
-    def answered(self, answer: Answer) -> None:
-        """Take the one final answer."""
-
-    def progressed(self, share: float, text: str) -> None:
-        """Take news of a running attempt."""
-
-    def here(self) -> bool:
-        """Say whether the client is still there, as far as that can be seen without waiting."""
-
-
-class Carrier(Protocol):
-    """What takes attempts to workers."""
-
-    def send(self, worker: str, ask: Ask, budget: float, note: Callable[[float, str], None],
-             barred: Callable[[], str | None]) -> Deferred[Outcome | None]:
-        """Start an attempt. Fires with its outcome, or None where the worker took it and will call back.
-
-        Cancelling it gives the attempt up by closing its connection. ``barred`` names what has come to
-        forbid it: asked where writing had to wait, before the first byte.
-        """
-
-    def recall(self, worker: str, cid: str, patient: bool = True) -> Deferred[bool]:
-        """Give up an attempt that the worker may have taken; fires with whether the worker was told.
-
-        Where it need not be told for the job to go on, the wait is short.
-        """
-
-    def probe(self, worker: str) -> Deferred[Outcome]:
-        """Ask a worker how it stands; fires with its report, or with how that failed."""
-
-    def renew(self, worker: str) -> None:
-        """Drop the free connections to a worker: they lead to a process that is gone."""
-
-
 class TooManyJobsError(Exception):
     """The core takes no more jobs."""
 
--- a/elderstall/net/console.py
+++ b/elderstall/net/console.py
@@ -10,8 +10,8 @@
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 from twisted.python.failure import Failure
 
-from elderstall.core import Figures
 from elderstall.deadlines import Deadline, Deadlines
+from elderstall.figures import Figures
 from elderstall.log import Log
 from elderstall.net import http
 from elderstall.slots import Slots
--- a/elderstall/net/server.py
+++ b/elderstall/net/server.py
@@ -19,20 +19,11 @@
 from twisted.python.failure import Failure
 from zope.interface import implementer
 
-from elderstall.core import (
-    Answer,
-    Ask,
-    Client,
-    Core,
-    Outcome,
-    Refused,
-    RepeatedIdError,
-    Served,
-    TooManyJobsError,
-)
+from elderstall.core import Core, RepeatedIdError, TooManyJobsError
 from elderstall.deadlines import Deadline, Deadlines
 from elderstall.interface import Effect, Ending
 from elderstall.log import Log
+from elderstall.messages import Answer, Ask, Client, Outcome, Refused, Served
 from elderstall.net import http
 from elderstall.net.peer import left, unread
 from elderstall.slots import Slots
--- a/elderstall/net/sse.py
+++ b/elderstall/net/sse.py
@@ -17,8 +17,8 @@
 from twisted.internet.defer import Deferred
 
 from elderstall.config import Progress
-from elderstall.core import Answer, Ask, Failed, Outcome, Refused, Served
 from elderstall.interface import Ending
+from elderstall.messages import Answer, Ask, Failed, Outcome, Refused, Served
 from elderstall.net import http
 from elderstall.net.server import RequestError, Server, ServerConnection
 from elderstall.net.workers import Carriage, Pool, Posted, Workers
--- a/elderstall/net/workers.py
+++ b/elderstall/net/workers.py
@@ -15,10 +15,10 @@
 from twisted.python.failure import Failure
 from zope.interface import implementer
 
-from elderstall.core import Ask, Outcome
 from elderstall.deadlines import Deadline, Deadlines
 from elderstall.interface import Ending
 from elderstall.log import Log
+from elderstall.messages import Ask, Outcome
 from elderstall.net import http
 from elderstall.net.peer import unread
 from elderstall.slots import Slots
@@ -610,7 +610,7 @@
         return pool
 
     def renew(self, worker: str) -> None:
-        """Drop the connections to a worker that was started anew; see ``core.Carrier``."""
+        """Drop the connections to a worker that was started anew; see ``messages.Carrier``."""
         if (pool := self.pools.pop(worker, None)) is not None:
             pool.close()
 
@@ -653,7 +653,7 @@
 
     def send(self, worker: str, ask: Ask, budget: float, note: Callable[[float, str], None],
              barred: Callable[[], str | None]) -> Deferred[Outcome | None]:
-        """Send a job; see ``core.Carrier``."""
+        """Send a job; see ``messages.Carrier``."""
         pool = self.pool_of(worker)
         under_way: list[Carriage] = []
 
@@ -688,7 +688,7 @@
             connection.pool.doubt()  # what is free there may be as dead
 
     def recall(self, worker: str, cid: str, patient: bool = True) -> Deferred[bool]:
-        """Tell a worker to give up a job that it has taken; see ``core.Carrier``."""
+        """Tell a worker to give up a job that it has taken; see ``messages.Carrier``."""
         done: Deferred[bool] = Deferred()
         pool = self.pool_of(worker)
         if pool is None:
@@ -710,7 +710,7 @@
         return done.addCallback(over)
 
     def probe(self, worker: str) -> Deferred[Outcome]:
-        """Ask a worker how it stands; see ``core.Carrier``."""
+        """Ask a worker how it stands; see ``messages.Carrier``."""
         done: Deferred[Outcome] = Deferred()
         pool = self.pool_of(worker)
         if pool is None:
--- a/elderstall/rehearsal/audit.py
+++ b/elderstall/rehearsal/audit.py
@@ -14,7 +14,7 @@
 from typing import TYPE_CHECKING
 
 from elderstall import interface as i
-from elderstall.core import Answer, Refused, Served
+from elderstall.messages import Answer, Refused, Served
 from elderstall.rehearsal.script import EPOCH, Rules
 
 if TYPE_CHECKING:
--- a/elderstall/rehearsal/clients.py
+++ b/elderstall/rehearsal/clients.py
@@ -10,7 +10,7 @@
 from elderstall.client.budget import RetryBudget
 from elderstall.client.policy import Action, Call, Habits, Lost, Rule, Send, Wait
 from elderstall.client.policy import Answer as Reply
-from elderstall.core import Answer, Failed, Refused, Served
+from elderstall.messages import Answer, Failed, Refused, Served
 from elderstall.rehearsal.draws import Choice
 from elderstall.rehearsal.script import ClassLoad, Traffic
 
--- a/elderstall/rehearsal/machine.py
+++ b/elderstall/rehearsal/machine.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from elderstall import interface as i
-from elderstall.core import Outcome
+from elderstall.messages import Outcome
 from elderstall.rehearsal.loop import Call
 from elderstall.rehearsal.script import Kind, Worker
 from elderstall.rehearsal.worker import CardWorker, Happening, Push, Task, What
--- a/elderstall/rehearsal/sockets.py
+++ b/elderstall/rehearsal/sockets.py
@@ -17,7 +17,7 @@
 from twisted.python.failure import Failure
 
 from elderstall import interface as i
-from elderstall.core import Outcome
+from elderstall.messages import Outcome
 from elderstall.net import http
 from elderstall.net.discovery import told_as
 from elderstall.rehearsal.script import ClassLoad
--- a/elderstall/rehearsal/station.py
+++ b/elderstall/rehearsal/station.py
@@ -6,9 +6,10 @@
 from typing import TYPE_CHECKING
 
 from elderstall import interface as i
-from elderstall.core import Ask, Core, TooManyJobsError
+from elderstall.core import Core, TooManyJobsError
 from elderstall.deadlines import Deadlines
 from elderstall.log import Log
+from elderstall.messages import Ask
 from elderstall.rehearsal.script import EPOCH
 from elderstall.rehearsal.wire import Errand, Wire
 
--- a/elderstall/rehearsal/wire.py
+++ b/elderstall/rehearsal/wire.py
@@ -14,7 +14,7 @@
 
 from elderstall import interface as i
 from elderstall.config import IDLE_PART
-from elderstall.core import Ask, Outcome
+from elderstall.messages import Ask, Outcome
 from elderstall.net.workers import ACCEPT_SOON, ACCEPT_WAIT, RECALL_WAIT, STALE_WITHIN
 from elderstall.rehearsal.loop import Call
 
@@ -203,7 +203,7 @@
 
 
 class Wire:
-    """The carrier of one dispatcher process; see ``core.Carrier``."""
+    """The carrier of one dispatcher process; see ``messages.Carrier``."""
 
     def __init__(self, process: Process) -> None:
         self.process, self.world = process, process.world
@@ -213,7 +213,7 @@
         self.errands: dict[str, Errand] = {}  # the newest of each id
         self.count = self.opening = 0
 
-    # ---- core.Carrier ----
+    # ---- messages.Carrier ----
 
     def send(self, worker: str, ask: Ask, budget: float, note: Callable[[float, str], None],
              barred: Callable[[], str | None]) -> Deferred[Outcome | None]:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -10,9 +10,10 @@
 from twisted.internet.task import Clock
 
 from elderstall import interface as i
-from elderstall.core import Answer, Ask, Core, Failed, Outcome, Refused, RepeatedIdError, Served
+from elderstall.core import Core, RepeatedIdError
 from elderstall.deadlines import Deadlines
 from elderstall.log import Log
+from elderstall.messages import Answer, Ask, Failed, Outcome, Refused, Served
 
 CLASSES = (i.JobClass("safe", 1.0, 100.0, 2_000.0),
            i.JobClass("unsafe", 1.0, 100.0, 2_000.0, i.Effect.UNSAFE))
--- a/tests/test_rehearsal_night.py
+++ b/tests/test_rehearsal_night.py
@@ -16,7 +16,8 @@
 from hypothesis import strategies as st
 
 from elderstall import interface as i
-from elderstall.core import Core, Outcome, Refused
+from elderstall.core import Core
+from elderstall.messages import Outcome, Refused
 from elderstall.rehearsal import script as s
 from elderstall.rehearsal.audit import KEPT, lines_of
 from elderstall.rehearsal.clients import Request, Try
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -12,8 +12,8 @@
 
 from elderstall import interface as i
 from elderstall.choice import Dispatcher
-from elderstall.core import Failed, Outcome, Served
 from elderstall.interface import Ending, ListScope, WorkerState
+from elderstall.messages import Failed, Outcome, Served
 from elderstall.routing.subset import SLACK, SUBSET_LEAST
 from elderstall.routing.view import ENTER_EVERY, ENTER_PART, GONE_FOR, GONE_LEAST, FleetView
 from tests.test_core import CLASSES as CORE_CLASSES
