Count a tenant's jobs without a pass over all tenants; tell zones out of reach from want of descriptors

A property test compares it with plain fading, to nine places.

Only connections that did not come up and questions with no answer count now.

--- a/elderstall/core.py
+++ b/elderstall/core.py
@@ -413,8 +413,14 @@
 
     def probed(self, outcome: Outcome, worker: str) -> None:
         """Take a worker's answer."""
+        self.learn_reach(worker, outcome)
         self.feed(i.Probed(worker, outcome.ending, outcome.report))
 
+    def learn_reach(self, worker: str, outcome: Outcome) -> None:
+        """Learn whether a worker's zone is in reach."""
+        now = self.deadlines.now()
+        self.tell_all(self.view.ended(worker, outcome.ending, outcome.unreached, now))
+
     def not_probed(self, failure: Failure, worker: str) -> None:
         """Take an error in the carrier: jobs wait for this answer."""
         self.log.failure("carrier", failure.value)
@@ -585,7 +591,7 @@
         if job.attempt is not a:
             return
         self.detach(a, outcome.ending)
-        self.tell_all(self.view.ended(a.worker, outcome.ending, self.deadlines.now()))
+        self.learn_reach(a.worker, outcome)
         if outcome.ending is Ending.SERVED:
             self.close(job, Served(outcome.result))
         self.feed(i.AttemptEnded(job.number, a.number, a.worker, outcome.ending, job.closed, outcome.report))
--- a/elderstall/limits/shares.py
+++ b/elderstall/limits/shares.py
@@ -20,6 +20,8 @@
 from elderstall.records import Bucket
 
 SEEN_FOR = 10_000.0  # ms after which what was seen counts for a third: some jobs of each at a light one
+REBASE_AFTER = 30 * SEEN_FOR  # ms: weights up to e to the 30th, of which rounding loses nothing that counts
+MOST_EXPONENT = 700.0  # that a float can take
 CHANCE = 5.0  # jobs of a tenant beyond its part that come by chance: at a light dispatcher they do
 
 
@@ -28,15 +30,20 @@
 
     def __init__(self) -> None:
         self.quotas, self.dispatchers, self.many = dict[str, float](), 1, False  # jobs a ms over all
+        self.all_quotas = 0.0
         self.tokens = dict[str, Bucket]()  # where dispatchers are few: each has an even part of a share
-        self.seen, self.at = dict[str, float](), 0.0  # where they are many: jobs, decaying; since when
+        # Where they are many: jobs, each weighing more by e for every SEEN_FOR after ``base`` that it came
+        # later, instead of all before it fading. So a job touches its own tenant's figure alone.
+        self.seen, self.all_seen, self.base = dict[str, float](), 0.0, 0.0
 
     def adopt(self, tenants: Iterable[Tenant], dispatchers: int, many: bool) -> None:
         """Take settings; what was seen of tenants that are still there stays."""
         self.quotas, self.dispatchers = {t.name: t.quota_per_s / 1000 for t in tenants}, dispatchers
         self.many = many
         self.tokens = {name: self.tokens.get(name, Bucket()) for name in self.quotas}
+        self.all_quotas = sum(self.quotas.values())
         self.seen = {name: self.seen.get(name, 0.0) for name in self.quotas}
+        self.all_seen = sum(self.seen.values())
 
     def within(self, now: float, tenant: str | None) -> float:
         """Count a job, and give the part of its tenant's jobs that is within its share."""
@@ -46,9 +53,17 @@
         if not self.many:
             even = quota / self.dispatchers
             return float(self.tokens[tenant].take(now, even, max(1.0, even * 1000)))
-        fade = math.exp((self.at - now) / SEEN_FOR)
-        self.seen, self.at = {name: n * fade for name, n in self.seen.items()}, now
-        self.seen[tenant] += 1.0
-        total = sum(self.quotas.values())
-        ours = sum(self.seen.values()) * quota / total if total else 0.0
-        return min(1.0, (max(quota * SEEN_FOR / self.dispatchers, ours) + CHANCE) / self.seen[tenant])
+        if now - self.base > REBASE_AFTER:
+            self.rebase(now)
+        weight = math.exp((now - self.base) / SEEN_FOR)
+        self.seen[tenant] += weight
+        self.all_seen += weight
+        ours = self.all_seen / weight * quota / self.all_quotas if self.all_quotas else 0.0
+        count = self.seen[tenant] / weight
+        return min(1.0, (max(quota * SEEN_FOR / self.dispatchers, ours) + CHANCE) / count)
+
+    def rebase(self, now: float) -> None:
+        """Let what was seen weigh as it does now: weights would grow without a bound."""
+        fade = math.exp(max(-MOST_EXPONENT, (self.base - now) / SEEN_FOR))
+        self.seen = {name: count * fade for name, count in self.seen.items()}
+        self.all_seen, self.base = sum(self.seen.values()), now
--- a/elderstall/messages.py
+++ b/elderstall/messages.py
@@ -62,6 +62,7 @@
     result: bytes = b""
     report: tuple[float, ...] = ()
     unclear: bool = False  # the worker may have taken the job, unseen: it is told to give it up
+    unreached: bool = False  # no connection came up, or a question was not answered: see routing/reach.py
     spoke: bool = False  # it had begun to answer: without its word the job goes nowhere else
 
 
--- a/elderstall/net/sse.py
+++ b/elderstall/net/sse.py
@@ -191,12 +191,12 @@
         else:
             super().done(unclear, spoke)
 
-    def broke(self, ending: Ending, spoke: bool = False) -> None:
+    def broke(self, ending: Ending, spoke: bool = False, unreached: bool = False) -> None:
         """Take the connection's end: once a stream has begun, its job may have run."""
         if self.events is not None:
             self.over(Outcome(Ending.BROKEN))
         else:
-            super().broke(ending, spoke)
+            super().broke(ending, spoke, unreached)
 
 
 class StreamWorkers(Workers):
--- a/elderstall/net/workers.py
+++ b/elderstall/net/workers.py
@@ -65,10 +65,10 @@
     def written(self) -> None:
         """Learn that the request's last byte was written."""
 
-    def broke(self, ending: Ending, spoke: bool = False) -> None:
+    def broke(self, ending: Ending, spoke: bool = False, unreached: bool = False) -> None:
         """Take the connection's end before that: unreachable if the request's last byte was not written.
 
-        ``spoke``: the worker had begun to answer.
+        ``spoke``: the worker had begun to answer. ``unreached``: see ``messages.Outcome``.
         """
 
     @property
@@ -305,7 +305,7 @@
             self.workers.opening -= 1
             if not isinstance(failure.value, CancelledError):
                 self.workers.log.write("connect", f"{self.name}: {type(failure.value).__name__}")
-                exchange.broke(Ending.UNREACHABLE)
+                exchange.broke(Ending.UNREACHABLE, unreached=True)
 
         def bug(failure: Failure) -> None:
             self.workers.log.failure("exchange", failure.value)
@@ -437,13 +437,13 @@
         elif self.timer is not None:
             self.timer.cancel()
 
-    def broke(self, ending: Ending, spoke: bool = False) -> None:
+    def broke(self, ending: Ending, spoke: bool = False, unreached: bool = False) -> None:
         """Take the connection's end; after the 202 it says nothing of the job."""
         if self.timer is not None:
             self.timer.cancel()
         if self.message.status != 202:
             # A reset says nothing of a 202 that it met on its way.
-            self.over(Outcome(ending, unclear=self.sent, spoke=spoke))
+            self.over(Outcome(ending, unclear=self.sent, spoke=spoke, unreached=unreached))
 
 
 class Recalled:
@@ -471,7 +471,7 @@
         """Take the end: the worker knows."""
         self.over(True)
 
-    def broke(self, ending: Ending, spoke: bool = False) -> None:
+    def broke(self, ending: Ending, spoke: bool = False, unreached: bool = False) -> None:
         """Take the connection's end."""
         self.over(False)
 
@@ -514,9 +514,9 @@
                 self.workers.log.write("bad-answer", "a load report that cannot be read")
         self.over(Outcome(Ending.SERVED if self.status == 200 else Ending.FULL, report=report))
 
-    def broke(self, ending: Ending, spoke: bool = False) -> None:
+    def broke(self, ending: Ending, spoke: bool = False, unreached: bool = False) -> None:
         """Take the connection's end."""
-        self.over(Outcome(ending))
+        self.over(Outcome(ending, unreached=unreached))
 
     def over(self, outcome: Outcome) -> None:
         """Give the outcome, once."""
@@ -722,7 +722,7 @@
         def silent() -> None:
             carriage.call_off()
             pool.doubt()  # what is free there may be as dead
-            exchange.broke(Ending.TIMED_OUT)
+            exchange.broke(Ending.TIMED_OUT, unreached=True)
 
         timer = self.deadlines.after(self.connect_for * PROBE_WAIT, silent)
 
--- a/elderstall/routing/reach.py
+++ b/elderstall/routing/reach.py
@@ -1,15 +1,16 @@
 """Which zones this dispatcher cannot reach, as its own attempts show: a decision without I/O.
 
 The list learns late of a rack or a zone that is lost, and not at all of a cut between regions that lies only
-on some dispatchers' side. Attempts show it at once: no connection comes up. One worker that fails says little
-of its zone; several of them with no answer from any in between do. A job that took too long says nothing.
+on some dispatchers' side. Attempts show it at once: no connection comes up, or a question is not answered.
+One worker that fails says little of its zone; several of them with no answer from any in between do. A job
+that took too long says nothing, and neither does a connection that was not tried for want of descriptors.
 """
 
 from __future__ import annotations
 
 from elderstall.interface import Ending
 
-SAYS_NOTHING = frozenset({Ending.NEVER_SENT, Ending.CANCELLED, Ending.CUT, Ending.TIMED_OUT})
+ANSWERED = frozenset({Ending.SERVED, Ending.FULL, Ending.ERROR})
 WORKERS_LEAST = 3  # different workers of a zone that fail in a row, before it counts as out of reach
 SEEN_FOR = 60_000.0  # ms after which a failure says nothing any more
 
@@ -21,11 +22,12 @@
         self.failing: dict[str | None, dict[str, float]] = {}  # workers that failed, and when, by zone
         self.lost: frozenset[str | None] = frozenset()
 
-    def ended(self, worker: str, zone: str | None, ending: Ending, now: float) -> frozenset[str | None]:
-        """Take an attempt's end; gives the zones that are out of reach."""
-        if ending in SAYS_NOTHING:
+    def ended(self, worker: str, zone: str | None, ending: Ending, unreached: bool,
+              now: float) -> frozenset[str | None]:
+        """Take the end of an attempt or a question; gives the zones that are out of reach."""
+        if not unreached and ending not in ANSWERED:
             return self.lost
-        if ending is not Ending.UNREACHABLE:
+        if not unreached:
             if self.failing.pop(zone, None) is not None and zone in self.lost:
                 self.lost -= {zone}
             return self.lost
--- a/elderstall/routing/view.py
+++ b/elderstall/routing/view.py
@@ -368,12 +368,12 @@
 
     # ---- reach ----
 
-    def ended(self, worker: str, ending: i.Ending, now: float) -> list[i.Event]:
-        """Learn from an attempt's end whether its worker's zone is in reach; gives news for the module."""
+    def ended(self, worker: str, ending: i.Ending, unreached: bool, now: float) -> list[i.Event]:
+        """Learn from the end of an attempt or a question which zones are in reach; gives the module's news."""
         entry = self.entries.get(worker)
         if self.subset is None or entry is None:
             return []
-        lost = self.reach.ended(worker, entry.zone, ending, now)
+        lost = self.reach.ended(worker, entry.zone, ending, unreached, now)
         if lost == self.lost_zones:
             return []
         self.lost_zones = lost
--- a/tests/test_floors.py
+++ b/tests/test_floors.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 import unittest
 
@@ -10,7 +11,7 @@
 
 from elderstall import Dispatcher
 from elderstall import interface as i
-from elderstall.limits.shares import CHANCE, Shares
+from elderstall.limits.shares import CHANCE, SEEN_FOR, Shares
 from elderstall.routing.pressure import ALL_MOST, KEPT, Pressure
 
 WORTHS = st.lists(st.floats(0.01, 1_000.0), min_size=1, max_size=8)
@@ -162,5 +163,36 @@
         self.assertLess(refused, 15)
 
 
+class Fading(unittest.TestCase):
+    """What was seen of a tenant fades with time; a job touches its own tenant alone."""
+
+    @given(st.lists(st.tuples(st.integers(0, 3), st.floats(0.0, 400_000.0)), max_size=60),
+           st.floats(0.0, 2e12))
+    def test_it_is_what_fading_all_at_each_job_comes_to(
+            self, jobs: list[tuple[int, float]], now: float) -> None:
+        tenants = [i.Tenant(f"t{n}", 0.5 + n) for n in range(4)]
+        shares = Shares()
+        shares.adopt(tenants, 200, many=True)
+        seen, at = [0.0] * 4, now
+        quotas = [t.quota_per_s / 1000 for t in tenants]
+        for tenant, gap in jobs:
+            now += gap
+            seen = [count * math.exp((at - now) / SEEN_FOR) for count in seen]
+            at = now
+            seen[tenant] += 1.0
+            ours = sum(seen) * quotas[tenant] / sum(quotas)
+            within = min(1.0, (max(quotas[tenant] * SEEN_FOR / 200, ours) + CHANCE) / seen[tenant])
+            self.assertAlmostEqual(within, shares.within(now, f"t{tenant}"), places=9)
+            self.assertLess(shares.all_seen, 1e16)
+
+    def test_a_job_looks_at_no_other_tenant(self) -> None:
+        shares = Shares()
+        shares.adopt([i.Tenant(f"t{n}", 1.0) for n in range(1_000)], 200, many=True)
+        shares.within(1.0, "t0")
+        before = dict(shares.seen)
+        shares.within(5_000.0, "t1")
+        self.assertEqual({"t1"}, {name for name, count in shares.seen.items() if count != before[name]})
+
+
 if __name__ == "__main__":
     unittest.main()
