--- a/elderstall/routing/view.py
+++ b/elderstall/routing/view.py
@@ -369,7 +369,7 @@
     # ---- reach ----
 
     def ended(self, worker: str, ending: i.Ending, unreached: bool, now: float) -> list[i.Event]:
-        """Learn from the end of an attempt or a question which zones are in reach; gives the module's news."""
+        """Learn which zones are in reach from the end of an attempt or question; gives the module's news."""
         entry = self.entries.get(worker)
         if self.subset is None or entry is None:
             return []
