Refuse a list that memory cannot hold before its addresses are merged

A list of too many entries was refused by the view only after discovery had taken its addresses: those of its new workers were kept, and pools of workers that it did not name dropped while the view went on with them. Discovery asks the view first. A test on real sockets sees addresses, view and watch as they were; it fails without the change (places differ).

--- a/elderstall/app.py
+++ b/elderstall/app.py
@@ -56,7 +56,7 @@
                          config.slack_ms, config.max_open, config.entries_most)
         self.discovery = Discovery(self.deadlines, self.log, self.connect_discovery, self.workers,
                                    self.core.listed, config.discovery, config.live_weights)
-        self.core.follow = self.discovery.follow
+        self.core.follow, self.discovery.fits = self.discovery.follow, self.core.view.fits
         self.workers.wrote = self.core.wrote
         self.console = Console(self.deadlines, self.log, lambda: self.ready, self.core.figures, {
             "/api/exclude": lambda worker: self.ban("exclude", worker),
--- a/elderstall/net/discovery.py
+++ b/elderstall/net/discovery.py
@@ -180,6 +180,7 @@
         self.timer: Deadline | None = None  # for the next sign of life
         self.hedge_timer: Deadline | None = None  # for a second call
         self.fresh = False  # a call of which the module has not yet heard
+        self.fits: Callable[[i.ListScope, int], bool] = lambda *_: True  # whether a list can be held
 
     def buildProtocol(self, addr: object) -> WatchConnection:  # noqa: N802, D102
         return WatchConnection(self)
@@ -201,6 +202,8 @@
                 self.log.write("watch", f"version {index} is older than {least}: not taken")
                 return None
             told_by.index = index
+        if not self.fits(scope, len(pairs)):
+            return None
         names = {listed.worker for listed, _ in pairs}
         if scope is i.ListScope.WHOLE:
             for name in [name for name in self.addresses if name not in names]:
--- a/elderstall/routing/view.py
+++ b/elderstall/routing/view.py
@@ -152,8 +152,9 @@
         """Take news of the list; gives what the module is to be told."""
         if scope in (ListScope.FAILED, ListScope.SILENT):
             return [i.WorkerList(scope)]
-        if not self.accepts(scope, entries):
+        if not self.fits(scope, len(entries)):
             return []  # the last good view goes on
+        self.count_odd(entries)
         shown = tuple(self.shown(entry) for entry in entries)
         missing = self.missing_from(entries) if scope is ListScope.WHOLE else []
         for worker in missing:
@@ -163,13 +164,17 @@
         events = self.tell(now, scope, shown, missing + changed)
         return events + self.forget(now)
 
-    def accepts(self, scope: ListScope, entries: tuple[i.Listed, ...]) -> bool:
-        """Look over a list; refuse one of more entries than the memory limit can hold."""
-        total = len(entries) + (0 if scope is ListScope.WHOLE else len(self.entries))
-        if len(entries) > self.entries_most or total > 2 * self.entries_most:
-            self.counts.lists_refused += 1
-            self.log("list", f"refused: {len(entries)} entries, memory holds {self.entries_most} at most")
-            return False
+    def fits(self, scope: ListScope, count: int) -> bool:
+        """Say whether a list of so many entries can be held; refuse one that memory has no room for."""
+        total = count + (0 if scope is ListScope.WHOLE else len(self.entries))
+        if count <= self.entries_most and total <= 2 * self.entries_most:
+            return True
+        self.counts.lists_refused += 1
+        self.log("list", f"refused: {count} entries, memory holds {self.entries_most} at most")
+        return False
+
+    def count_odd(self, entries: tuple[i.Listed, ...]) -> None:
+        """Count and log entries that lack what others have, or that stand twice."""
         odd = Counter({"doubled name": len(entries) - len({e.worker for e in entries})})
         if any(e.zone for e in entries):
             odd["no zone"] = sum(not e.zone for e in entries)
@@ -178,7 +183,6 @@
         if odd := +odd:
             self.counts.odd_entries += odd
             self.log("list", "taken, but " + ", ".join(f"{n} with {what}" for what, n in sorted(odd.items())))
-        return True
 
     def missing_from(self, entries: Iterable[i.Listed]) -> list[str]:
         """Name the workers that a whole list does not name any more."""
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -11,7 +11,7 @@
 from elderstall.net import http
 from elderstall.net.server import LOOK_AGAIN, READ_AHEAD
 from tests.loopback import Loopback, Side, address_of
-from tests.scenario import CLASSES, RULES
+from tests.scenario import CLASSES, RULES, entry
 
 GONE_FOR = 100.0  # ms after a client has left from which on its job must not be written to a worker
 MUCH = b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n" * (READ_AHEAD // 28 + 900)  # more than is read ahead
@@ -424,6 +424,21 @@
         self.app.discovery.close()
         self.assertTrue(connecting.called)
 
+    def test_a_list_past_what_memory_holds_leaves_addresses_and_workers_as_they_were(self) -> None:
+        self.begin(workers=2)
+        self.app.core.view.entries_most = 50
+        self.tell(43, whole=True, w1="up", w2="up")
+        places = dict(self.app.workers.places)
+        many = [entry(f"x{n}", address="127.0.0.1:1") for n in range(51)]
+        self.watches[-1].send(http.chunk(json.dumps(
+            {"index": 44, "snapshot": True, "endpoints": many}).encode() + b"\n"))
+        self.turn()
+        self.assertEqual(places, self.app.workers.places)
+        self.assertEqual({"w1", "w2"}, set(self.app.core.view.entries))
+        self.assertEqual(1, self.app.core.figures().lists_refused)
+        self.tell(45, w1="draining")  # the watch goes on
+        self.assertEqual("draining", self.app.core.view.state("w1").value)
+
     def test_numbers_that_are_none_end_the_watch(self) -> None:
         self.begin()
         for value in ("NaN", "Infinity", "-1"):
