Widen a subset only into zones that have answered since the first was lost

When regions part, zones are found to be out of reach one by one; each time the arcs took in workers of zones that were cut off too, which left again when found. The plays' recovery is told from the trouble's end, against jobs that ended before it.

--- a/benchmarks/scale/play.py
+++ b/benchmarks/scale/play.py
@@ -84,16 +84,20 @@
     return np.array([machine.model.ledger.busy for machine in world.machines.values()])
 
 
-def recovery(windows: list[dict[str, Any]], at: float) -> dict[str, Any]:
-    """Say how deep service fell from a time on, and after how many seconds it was back within 0.02."""
-    before = [w["service"] for w in windows if at / 2 <= w["from_s"] < at - 5 and w["service"] is not None]
-    usual = float(np.mean(before)) if before else 0.0
-    after = [w for w in windows if w["from_s"] >= at - 5 and w["service"] is not None]
-    low = [w["from_s"] for w in after if w["service"] < usual - 0.02]
+def recovery(windows: list[dict[str, Any]], at: float, ends: float) -> dict[str, Any]:
+    """Say how deep service of jobs fell, by when they came, and when it was back within 0.02 of the usual.
+
+    Jobs that come less than twice the mean work before the trouble still run in it: they are not the usual.
+    """
+    told = [w for w in windows if w["service"] is not None]
+    before = [w["service"] for w in told if w["from_s"] + 5 <= at - 2 * WORK / 1000]
+    usual = float(np.mean(before)) if before else 1.0
+    after = [w for w in told if w["from_s"] + 5 > at - 2 * WORK / 1000]
+    low = [w["from_s"] + 5 for w in after if w["service"] < usual - 0.02]
     return {
         "usual": round(usual, 4),
         "lowest": min((w["service"] for w in after), default=None),
-        "back_after_s": round(max(low) + 5 - at, 1) if low else 0.0,
+        "back_after_its_end_s": round(max(low) - ends, 1) if low else 0.0,
     }
 
 
@@ -108,6 +112,7 @@
     views = [station.process.core.view for station in world.stations if station.process is not None]
     held = [len(view.members) if view.subset is not None else len(view.entries) for view in views]
     trouble = min((t.at for t in night.troubles), default=None)
+    ends = max((t.ends for t in night.troubles), default=0.0)
     return {
         "workers": len(night.workers),
         "dispatchers": len(views),
@@ -122,7 +127,7 @@
         "load_largest_over_mean": round(float(busy.max() / busy.mean()), 3),
         "load_p99_over_mean": round(float(np.quantile(busy, 0.99) / busy.mean()), 3),
         "idle_workers": int((busy == 0).sum()),
-        "recovery": None if trouble is None else recovery(figures["windows"], trouble / 1000),
+        "recovery": None if trouble is None else recovery(figures["windows"], trouble / 1000, ends / 1000),
         "widened": sum(0 if view.subset is None else view.subset.widened for view in views),
         "entered": sum(view.counts.entered for view in views),
         "left": sum(view.counts.left for view in views),
--- a/elderstall/routing/reach.py
+++ b/elderstall/routing/reach.py
@@ -15,27 +15,40 @@
 SEEN_FOR = 60_000.0  # ms after which a failure says nothing any more
 
 
+Zones = frozenset[str | None]
+
+
 class ZoneReach:
-    """Failures in a row by zone, and the zones that count as out of reach."""
+    """Failures in a row by zone, and what follows: zones out of reach, and zones surely in reach."""
 
     def __init__(self) -> None:
         self.failing: dict[str | None, dict[str, float]] = {}  # workers that failed, and when, by zone
-        self.lost: frozenset[str | None] = frozenset()
+        self.lost: Zones = frozenset()
+        self.answering: Zones = frozenset()  # have answered since the first of them was lost
 
     def ended(self, worker: str, zone: str | None, ending: Ending, unreached: bool,
-              now: float) -> frozenset[str | None]:
-        """Take the end of an attempt or a question; gives the zones that are out of reach."""
-        if not unreached and ending not in ANSWERED:
-            return self.lost
-        if not unreached:
-            if self.failing.pop(zone, None) is not None and zone in self.lost:
-                self.lost -= {zone}
-            return self.lost
+              now: float) -> bool:
+        """Take the end of an attempt or a question; say whether it has changed what is in reach."""
+        before = self.lost, self.answering
+        if unreached:
+            self.failed(worker, zone, now)
+        elif ending in ANSWERED:
+            self.answered(zone)
+        return before != (self.lost, self.answering)
+
+    def answered(self, zone: str | None) -> None:
+        """Take a worker's answer."""
+        self.failing.pop(zone, None)
+        self.lost -= {zone}
+        self.answering = self.answering | {zone} if self.lost else frozenset()
+
+    def failed(self, worker: str, zone: str | None, now: float) -> None:
+        """Take a worker that was not reached."""
         failing = self.failing.setdefault(zone, {})
         failing[worker] = now
         while failing and len(failing) > WORKERS_LEAST:
             del failing[next(iter(failing))]
         recent = sum(now - at <= SEEN_FOR for at in failing.values())
-        if recent >= WORKERS_LEAST and zone not in self.lost:
+        if recent >= WORKERS_LEAST:
             self.lost |= {zone}
-        return self.lost
+            self.answering -= {zone}
--- a/elderstall/routing/subset.py
+++ b/elderstall/routing/subset.py
@@ -109,8 +109,8 @@
         short = len(self.members) < self.length
         return short or name in self.members or (position(name) - self.start) % RING <= self.last
 
-    def cut(self, lost: Callable[[str], bool]) -> None:
-        """Work the members out anew; for each that is ``lost`` a further one is taken that is not."""
+    def cut(self, lost: Callable[[str], bool], answering: Callable[[str], bool] = lambda name: True) -> None:
+        """Work the members out anew; for each that is ``lost`` one more is taken that is ``answering``."""
         taken: list[str] = []
         missing = 0
         most = int(WIDEN_MOST * self.length)
@@ -119,7 +119,7 @@
                 missing += lost(name)
             elif not missing or len(taken) >= most:
                 break
-            elif lost(name):
+            elif not answering(name):
                 continue
             else:
                 missing -= 1
@@ -138,7 +138,8 @@
         self.home: Arc | None = None
         self.sized_for = 0  # workers on the rings when lengths were last worked out
         self.size = 0
-        self.lost_zones: set[str | None] = set()
+        self.lost_zones: frozenset[str | None] = frozenset()
+        self.answering_zones: frozenset[str | None] = frozenset()
         self.places: dict[str, Place] = {}  # of the workers on the rings
         self.known_places: dict[Place, Place] = {}  # one of each, so that workers share them
 
@@ -188,12 +189,16 @@
     def cut(self, arcs: Iterable[Arc]) -> None:
         """Work arcs out anew."""
         for arc in arcs:
-            arc.cut(self.is_lost)
+            arc.cut(self.is_lost, self.is_answering)
 
     def is_lost(self, name: str) -> bool:
         """Say whether a worker's zone is out of reach."""
         return bool(self.lost_zones) and self.places[name].zone in self.lost_zones
 
+    def is_answering(self, name: str) -> bool:
+        """Say whether a worker's zone has answered since others were lost."""
+        return self.places[name].zone in self.answering_zones
+
     def _arcs_of(self, place: Place) -> list[Arc]:
         """Give the arcs on whose rings a worker of a kind and zone stands."""
         arcs = [self.kinds[place.kind]]
@@ -222,9 +227,12 @@
         self.cut(touched)
         return bool(touched)
 
-    def lose(self, zones: set[str | None]) -> None:
-        """Take the zones that are out of reach now: arcs reach past their workers."""
-        self.lost_zones = zones
+    def lose(self, zones: frozenset[str | None], answering: frozenset[str | None]) -> None:
+        """Take the zones that are out of reach now: arcs reach past their workers, to those that answer.
+
+        Others may be cut off too, and not yet found to be: taken in, they would leave again.
+        """
+        self.lost_zones, self.answering_zones = zones, answering
         self.cut(self.arcs())
 
     def wants(self, name: str) -> bool:
--- a/elderstall/routing/view.py
+++ b/elderstall/routing/view.py
@@ -377,11 +377,12 @@
         entry = self.entries.get(worker)
         if self.subset is None or entry is None:
             return []
-        lost = self.reach.ended(worker, entry.zone, ending, unreached, now)
-        if lost == self.lost_zones:
+        if not self.reach.ended(worker, entry.zone, ending, unreached, now):
             return []
-        self.lost_zones = lost
-        self.log("view", f"{len(lost)} zones out of reach" if lost else "all zones in reach")
-        self.subset.lose(set(lost))
+        lost, self.lost_zones = self.lost_zones, self.reach.lost
+        if lost != self.lost_zones:
+            count = len(self.lost_zones)
+            self.log("view", f"{count} zones out of reach" if count else "all zones in reach")
+        self.subset.lose(self.lost_zones, self.reach.answering)
         told = self.recut(now) + self.enter(now)
         return [i.WorkerList(ListScope.CHANGES, tuple(told))] if told else []
--- a/tests/test_subset.py
+++ b/tests/test_subset.py
@@ -25,6 +25,7 @@
 
 NAMES = [f"s-{n * 2654435761 % 2**32:08x}" for n in range(6_000)]
 Fleet = list[tuple[str, str, str | None]]
+ZONES: frozenset[str | None] = frozenset(f"zone-{n}" for n in range(40))
 
 
 def fleet(count: int, kinds: int = 4, zones: int = 40) -> Fleet:
@@ -135,13 +136,15 @@
         workers = fleet(5_000, kinds=1)
         subset = subset_of(workers)
         usual = subset.wanted()
-        subset.lose({"zone-1", "zone-2"})
+        subset.lose(frozenset({"zone-1", "zone-2"}), frozenset())
+        self.assertEqual(usual, subset.wanted())  # nobody else has answered since
+        subset.lose(frozenset({"zone-1", "zone-2"}), ZONES - {"zone-1", "zone-2"})
         lost = {name for name, _, zone in workers if zone in ("zone-1", "zone-2")}
         extra = subset.wanted() - usual
         self.assertEqual(len(usual & lost), len(extra))
         self.assertEqual(set(), extra & lost)
         self.assertEqual(len(extra), subset.widened)
-        subset.lose(set())
+        subset.lose(frozenset(), frozenset())
         self.assertEqual(usual, subset.wanted())
         self.assertEqual(0, subset.widened)
 
@@ -149,11 +152,12 @@
         workers = fleet(6_000, kinds=1)
         subset = subset_of(workers, dispatchers=600)
         usual = len(subset.wanted())
-        subset.lose({f"zone-{n}" for n in range(36)})  # nine in ten
+        cut = frozenset(f"zone-{n}" for n in range(36))  # nine in ten
+        subset.lose(cut, ZONES - cut)
         left = {name for name, _, zone in workers if zone in {f"zone-{n}" for n in range(36, 40)}}
         self.assertLessEqual(len(subset.wanted()), WIDEN_MOST * usual)
         self.assertEqual(left, left & subset.wanted())  # 600: all there are, of the 1,024 that it would take
-        subset.lose({f"zone-{n}" for n in range(40)})
+        subset.lose(ZONES, frozenset())
         self.assertEqual(usual, len(subset.wanted()))
 
     def test_dispatchers_do_not_all_fall_on_the_same_workers(self) -> None:
@@ -164,7 +168,7 @@
             arc = Arc(ring, point(rank), 500)
             arc.cut(lambda name: False)
             usual = arc.members
-            arc.cut(lost.__contains__)
+            arc.cut(lost.__contains__, lambda name: name not in lost)
             extra.update(arc.members - usual)
         self.assertGreater(len(extra), 0.8 * 4_500)
         self.assertLessEqual(max(extra.values()), 3 * sum(extra.values()) / 4_500)
@@ -176,6 +180,10 @@
             reach.ended(worker, "a", Ending.UNREACHABLE, True, now)
         return reach.lost
 
+    def takes(self, reach: ZoneReach, worker: str, zone: str, ending: Ending) -> frozenset[str | None]:
+        reach.ended(worker, zone, ending, False, 1.0)
+        return reach.lost
+
     def test_one_worker_however_often_says_nothing_of_its_zone(self) -> None:
         self.assertEqual(frozenset(), self.fails(ZoneReach(), *["w1"] * 20))
 
@@ -183,15 +191,18 @@
         reach = ZoneReach()
         self.assertEqual({"a"}, self.fails(reach, "w1", "w2", "w3"))
         for nothing in (Ending.CANCELLED, Ending.NEVER_SENT, Ending.TIMED_OUT, Ending.UNREACHABLE):
-            self.assertEqual({"a"}, reach.ended("w4", "a", nothing, False, 1.0))
-        self.assertEqual({"a"}, reach.ended("v1", "b", Ending.SERVED, False, 1.0))
-        self.assertEqual(frozenset(), reach.ended("w1", "a", Ending.FULL, False, 2.0))
+            self.assertEqual({"a"}, self.takes(reach, "w4", "a", nothing))
+        self.assertEqual(frozenset(), reach.answering)
+        self.assertEqual({"a"}, self.takes(reach, "v1", "b", Ending.SERVED))
+        self.assertEqual({"b"}, reach.answering)
+        self.assertEqual(frozenset(), self.takes(reach, "w1", "a", Ending.FULL))
+        self.assertEqual(frozenset(), reach.answering)
         self.assertEqual(frozenset(), self.fails(reach, "w1", "w2"))
 
     def test_want_of_descriptors_says_nothing_of_any_zone(self) -> None:
         reach = ZoneReach()
         for name in NAMES[:50]:
-            self.assertEqual(frozenset(), reach.ended(name, "a", Ending.UNREACHABLE, False, 1.0))
+            self.assertEqual(frozenset(), self.takes(reach, name, "a", Ending.UNREACHABLE))
 
     def test_failures_long_ago_do_not_count_and_what_is_kept_is_bounded(self) -> None:
         reach = ZoneReach()
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -255,7 +255,13 @@
     def test_zones_out_of_reach_have_others_taken_for_them(self) -> None:
         cut = [name for name in self.inside if self.number(name) % 10 == 3]
         for name in cut[:3]:
-            events = self.view.ended(name, Ending.UNREACHABLE, True, 50_000.0)
+            self.assertEqual([], self.view.ended(name, Ending.UNREACHABLE, True, 50_000.0))
+        events: list[i.Event] = []
+        for name in self.inside:  # others answer, and so show that they are in reach
+            if name not in cut:
+                events += self.view.ended(name, Ending.SERVED, False, 50_000.0)
+            if len(self.view.reach.answering) == 9:
+                break
         assert self.view.subset is not None
         self.assertEqual(len(cut), self.view.subset.widened)
         came = [name for name, state in self.told(events).items() if state is UP]
