Put workers on the ring by a hash of their own, not the one that cuts the lane

The refusals were a few dispatchers': of 100 over 10,000 workers eight refused all long jobs while hardly any of their 1,024 workers had a job. has_room failed for all of them by lanes.keeps_out: the ring and the lane for urgent jobs used the same hash of the name, so that a dispatcher whose stretch lay in the lane's quarter had no worker outside it. Ruled out: owners (service was the same with owners by the arc), connections, skips, cold workers (counted at each refusal).

Change: a worker's position is a second hash. The test fails without it (a subset with all its names in the lane). Whole fleets use no ring.

--- a/benchmarks/scale/measures.py
+++ b/benchmarks/scale/measures.py
@@ -5,10 +5,14 @@
 import gc
 import json
 import random
+import resource
 import time
 import tracemalloc
 from collections.abc import Callable
+from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass, replace
+from multiprocessing import get_context
+from pathlib import Path
 
 from benchmarks.scale.fleets import EPOCH, entries, list_text, replacements
 from benchmarks.scale.hollow import HollowDispatcher, settings_of
@@ -141,18 +145,19 @@
     return dispatcher
 
 
-def churn(size: Size) -> float:
-    """Give what is held after days of churn, MB."""
+def resident_after_churn(size: Size) -> float:
+    """Give the resident memory of this process after days of churn, MB."""
+    dispatcher = churned(size)
     gc.collect()
-    tracemalloc.start()
-    try:
-        dispatcher = churned(size)
-        gc.collect()
-        amount = tracemalloc.get_traced_memory()[0] / 1e6
-        assert dispatcher.core.view.entries
-        return amount
-    finally:
-        tracemalloc.stop()
+    pages = int(Path("/proc/self/statm").read_text().split()[1])
+    assert dispatcher.core.view.entries
+    return pages * resource.getpagesize() / 1e6
+
+
+def churn(size: Size) -> float:
+    """Give the same of a process of its own."""
+    with ProcessPoolExecutor(1, get_context("spawn")) as pool:
+        return pool.submit(resident_after_churn, size).result()
 
 
 MEASURES: dict[str, tuple[str, Callable[[Size], float]]] = {
--- a/elderstall/routing/subset.py
+++ b/elderstall/routing/subset.py
@@ -38,8 +38,12 @@
 
 
 def position(name: str) -> int:
-    """Give a worker's position on the ring, alike in every process."""
-    return stable_hash(name)
+    """Give a worker's position on the ring, alike in every process.
+
+    Hashed twice: `routing/lanes.py` and the pools cut by the first hash, so a stretch of a ring of it would
+    lie in the lane as a whole, or outside it.
+    """
+    return stable_hash(str(stable_hash(name)))
 
 
 def point(rank: int) -> int:
--- a/tests/test_subset.py
+++ b/tests/test_subset.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 
 from elderstall.interface import Ending
+from elderstall.records import stable_hash
 from elderstall.routing.reach import SEEN_FOR, WORKERS_LEAST, ZoneReach
 from elderstall.routing.subset import (
     KIND_LEAST,
@@ -70,6 +71,16 @@
             self.assertGreaterEqual(min(held.values()), 0.75 * mean)
 
 
+class Independent(unittest.TestCase):
+    def test_each_subset_has_its_part_of_any_share_of_the_names_hashes(self) -> None:
+        """The lane for urgent jobs is such a share: a subset all in it had no worker for long jobs."""
+        workers = fleet(6_000, kinds=1)
+        for rank in range(60):
+            wanted = subset_of(workers, rank, 60).wanted()
+            lane = sum(stable_hash(name) < 2**32 / 4 for name in wanted) / len(wanted)
+            self.assertTrue(0.15 < lane < 0.35, lane)
+
+
 class Own(unittest.TestCase):
     def test_those_first_in_line_are_as_even_as_all(self) -> None:
         """A dispatcher counts as its own the workers for which it stands first in line."""
