--- a/benchmarks/scale/play.py
+++ b/benchmarks/scale/play.py
@@ -2,7 +2,7 @@
 
     python -m benchmarks.scale.play --workers 4000 --dispatchers 40 [--whole] [--trouble zone|regions]
 
-Jobs are fewer and longer than the target's, so that one machine plays them: as many run at once.
+Jobs are ten times fewer and twice as long as the target's, so that one machine plays them.
 """
 
 from __future__ import annotations
@@ -21,7 +21,7 @@
 from elderstall.rehearsal import script as s
 from elderstall.rehearsal.world import World
 
-WORK = 20_000.0  # ms, mean: at the target tasks run 9 s, and ten times as many start
+WORK = 20_000.0  # ms, mean: at the target tasks run 8.7 s
 BUSY = 0.43  # of the fleet's slots, at the rate that follows
 WARM = 1.5  # times the mean work, before anything is counted
 KIND = s.Kind("box", cores=2, slots=2, queue=4, cold_for=6_000.0, connections=600)
--- a/elderstall/config.py
+++ b/elderstall/config.py
@@ -23,7 +23,7 @@
 FOOTPRINT = 24.0  # MiB that the program takes with nothing to do, measured
 READING_PART = 0.125  # of the memory beyond it may go to requests not whole yet; jobs may hold as much
 LIST_PART = 0.5  # of the memory beyond it may go to the list of workers, also while a new one is read
-ENTRY_BYTES = 1_700  # that an entry takes then, measured at 23,000 (docs/CAPACITY.md)
+ENTRY_BYTES = 1_700  # an entry: 1,360 after a start, 1,800 after a later whole list (docs/CAPACITY.md)
 ENTRIES_LEAST = 1_024  # of a list are held whatever the limit
 READING_LEAST = 1.0  # MiB for them, however little there is
 
