End a review case's processes at once when the case is told to end

Cause: a case that was cancelled could wait for its own tasks and leave processes behind. Change: SIGTERM kills what the case has started, and the case exits with 2.

--- a/review/standins/dispatcher.py
+++ b/review/standins/dispatcher.py
@@ -17,6 +17,7 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 READY_TIMEOUT_S = 6.0
+STARTED: list[subprocess.Popen[bytes]] = []  # all processes of the dispatcher, to be ended
 CLASSES = (("deck-fetch", "safe", 5000.0, 2.0, 250.0), ("deck-purchase", "unsafe", 5000.0, 10.0, 150.0))
 
 
@@ -172,6 +173,7 @@
                 stdout=log,
                 stderr=log,
             )
+        STARTED.append(self.popen)
         self.record.write(self.name, f"started, console {console}")
 
     async def ready(self) -> bool:
--- a/review/standins/runner.py
+++ b/review/standins/runner.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import os
+import shutil
 import signal
 import tempfile
 from collections.abc import Callable, Coroutine
 from pathlib import Path
 
+from review.standins.dispatcher import STARTED
 from review.standins.record import Record
 
 CANNOT_RUN = 2
@@ -17,19 +19,17 @@
 
 def run_case(play: Callable[[Path, Record], Coroutine[None, None, int]], file: str) -> int:
     """Play a case and return its exit status; ``file`` is the case's module."""
+    record = Record(Path(file).with_name("record.txt"))
+    with tempfile.TemporaryDirectory() as folder:
 
-    async def play_in(folder: str) -> int:
-        playing = asyncio.ensure_future(play(Path(folder), record))
-        # The case is cancelled, so that it ends the processes that it has started.
-        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, playing.cancel)
-        try:
-            return await playing
-        except asyncio.CancelledError:
-            return CANNOT_RUN
+        def end_at_once(*_: object) -> None:
+            for process in STARTED:
+                process.kill()
+            shutil.rmtree(folder, ignore_errors=True)
+            os._exit(CANNOT_RUN)
 
-    record = Record(Path(file).with_name("record.txt"))
-    try:
-        with tempfile.TemporaryDirectory() as folder:
-            return asyncio.run(play_in(folder))
-    finally:
-        record.close()
+        signal.signal(signal.SIGTERM, end_at_once)
+        try:
+            return asyncio.run(play(Path(folder), record))
+        finally:
+            record.close()
