Review case 3: a new version ends where the path of its temporary folder is long

Cause: the path of the Unix socket is over the system's 107 bytes, so the new process takes no listener over and cannot open one of its own beside the old process.

--- a/review/standins/dispatcher.py
+++ b/review/standins/dispatcher.py
@@ -105,10 +105,12 @@
 class Platform:
     """The machine of one dispatcher: its addresses, its configuration and its temporary folder."""
 
-    def __init__(self, record: Record, folder: Path, discovery: str, known: dict[str, Any]) -> None:
+    def __init__(
+        self, record: Record, folder: Path, discovery: str, known: dict[str, Any], tmpdir: str = "tmp"
+    ) -> None:
         self.record = record
         self.folder = folder
-        self.tmpdir = folder / "tmp"
+        self.tmpdir = folder / tmpdir
         self.tmpdir.mkdir(parents=True)
         self.listen = f"127.0.0.1:{free_port()}"
         self.discovery = discovery
