--- a/review/standins/client.py
+++ b/review/standins/client.py
@@ -10,6 +10,7 @@
 from review.standins.record import Record
 from review.standins.wire import encode, read_message
 
+NO_ANSWER = "no answer, connection open"
 GRACE_S = 0.5  # after a request's time, in which an answer still counts as one
 
 
@@ -27,9 +28,9 @@
     resent: bool = False
 
     @property
-    def is_unanswered(self) -> bool:
-        """Whether no whole answer has come in time."""
-        return not self.outcome.isdigit()
+    def is_lost(self) -> bool:
+        """Whether it got no answer over a connection that stayed open; closes and refusals do not count."""
+        return self.outcome == NO_ANSWER
 
 
 class Client:
@@ -99,7 +100,7 @@
         try:
             message = await asyncio.wait_for(read_message(reader), wait)
         except TimeoutError:
-            request.outcome = "no answer, connection open"
+            request.outcome = NO_ANSWER
             self.close()
             return was_kept
         if message is None:
