Count the shutdown's times from the earliest moment of SIGTERM, not its handler

Cause: the platform counts from sending the signal. The program counted from the reactor's turn that handled it, which a pause (0.15 s) and a long turn delay; and a timer's flag said which jobs are cut, so that a request read in the turn in which the timer was due kept its whole budget.

--- a/elderstall/app.py
+++ b/elderstall/app.py
@@ -280,7 +280,8 @@
 
     def sigterm(self, *_: object) -> None:
         """Begin the shutdown from the reactor, as a signal handler may interrupt any code."""
-        self.reactor.callFromThread(self.drain)
+        # The reactor's turn may come late: the platform's time counts from the signal.
+        self.reactor.callFromThread(self.drain, self.deadlines.now())
 
     def sighup(self, *_: object) -> None:
         """Reload the configuration from the reactor, as a signal handler may interrupt any code."""
@@ -359,9 +360,12 @@
             self.server.progress_settings = self.config.progress
         self.server.enforce_limits()
 
-    def drain(self) -> None:
-        """Begin the shutdown; it calls ``end`` when clients and jobs have finished or run out of time."""
-        self.shutdown.begin()
+    def drain(self, signaled_at: float) -> None:
+        """Begin the shutdown; it calls ``end`` when clients and jobs have finished or run out of time.
+
+        ``signaled_at``: clock reading of the handler of SIGTERM, ms.
+        """
+        self.shutdown.begin(signaled_at)
 
     def end(self) -> None:
         """Close all sockets and stop the reactor."""
--- a/elderstall/clocks.py
+++ b/elderstall/clocks.py
@@ -11,6 +11,9 @@
 from dataclasses import dataclass
 from typing import Any
 
+# The process may be paused for this long between an event and its reading of the clock, or between that
+# reading and what it writes. Deadlines and windows allow for it; it is not enforced.
+MAX_PROCESS_PAUSE_MS = 150.0
 READING_TOLERANCE_MS = 5.0  # smaller errors of measurement and drifts are ignored
 MAX_READINGS = 5  # the tightest is used: the process may pause between reading two clocks
 SHARED_CLOCK_VERSION = 1  # version of the encoding for the peer process of an upgrade
--- a/elderstall/engine/rules.py
+++ b/elderstall/engine/rules.py
@@ -4,13 +4,13 @@
 
 from enum import Enum
 
+from elderstall.clocks import MAX_PROCESS_PAUSE_MS
 from elderstall.deadlines import Deadlines
 from elderstall.engine.jobs import Job
 from elderstall.interface import DeduplicationScope, Effect, SendAttempt, Settings
 from elderstall.routing.view import FleetView
 
 DRAIN_SEND_FRACTION = 0.75  # of the time in which sending to a draining worker has to stop
-MAX_PROCESS_PAUSE_MS = 150.0  # assumed between reading the clock and writing to a socket; not enforced
 
 
 class Violation(Enum):
--- a/elderstall/net/server/listener.py
+++ b/elderstall/net/server/listener.py
@@ -80,8 +80,10 @@
         self.callbacks = CallbackReceiver(engine, log, parse_report)
         self.handing_over = ConnectionHandover(engine, deadlines, self.table)
         self.draining = False
-        self.limits_budgets = False  # jobs' budgets end at the shutdown deadline
-        self.shutdown_deadline = math.inf  # no job is accepted after it
+        # Clock readings, ms. No job is accepted after the shutdown deadline; the budgets of jobs that are
+        # read from ``limit_budgets_from`` on end with it.
+        self.limit_budgets_from = math.inf
+        self.shutdown_deadline = math.inf
         self.closing_clients = False  # clients' connections end with their answer
 
     def buildProtocol(self, addr: object) -> Protocol | None:  # noqa: N802, D102
@@ -230,9 +232,23 @@
         """Return the reason for closing a connection after its answer."""
         return CloseReason.DRAIN if self.draining else CloseReason.CLOSED_AFTER
 
-    def drain(self) -> None:
-        """Report draining at ``/up``; clients are still served until ``close_idle_clients``."""
+    @property
+    def limits_budgets(self) -> bool:
+        """Whether the budgets of jobs that are read now end at the shutdown deadline.
+
+        Compared with the clock at each use: a timer that sets a flag may run only after a request has been
+        read that came later than the time of the timer.
+        """
+        return self.deadlines.now() >= self.limit_budgets_from
+
+    def drain(self, *, limit_budgets_from: float, shutdown_deadline: float) -> None:
+        """Report draining at ``/up``; clients are still served until ``close_idle_clients``.
+
+        The times are clock readings, ms.
+        """
         self.draining = True
+        self.limit_budgets_from = limit_budgets_from
+        self.shutdown_deadline = shutdown_deadline
 
     def close_idle_clients(self) -> None:
         """Close clients' connections between requests; the others close after their answer."""
--- a/elderstall/net/server/request_connection.py
+++ b/elderstall/net/server/request_connection.py
@@ -21,7 +21,9 @@
 class RequestHandler(SharedState, Interface):
     """The handler of a connection's requests."""
 
-    limits_budgets: bool  # jobs' budgets end at the shutdown deadline
+    @property
+    def limits_budgets(self) -> bool:
+        """Whether the budgets of jobs that are read now end at the shutdown deadline."""
 
     def check_head(self, message: http.Message) -> JobRequest | None:
         """Check a head; return the request if it is a job's, else None."""
--- a/elderstall/shutdown.py
+++ b/elderstall/shutdown.py
@@ -1,13 +1,17 @@
 """Graceful shutdown: answers accepted jobs, closes the clients' connections and ends the process.
 
-The platform sends SIGKILL some time after SIGTERM; all times here keep a margin to that.
+The platform sends SIGKILL some time after SIGTERM; all times here keep a margin to that. The process may have
+been paused when SIGTERM was sent, so the times that end before SIGKILL count from the earliest moment at
+which the signal can have been sent, not from when it was handled.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any, Protocol
 
+from elderstall.clocks import MAX_PROCESS_PAUSE_MS
 from elderstall.deadlines import Deadlines
 from elderstall.engine import Engine
 from elderstall.log import Log
@@ -16,7 +20,8 @@
 from elderstall.net.server.listener import Server
 from elderstall.upgrade import Upgrade
 
-SERVING_PERIOD_MS = 700.0  # after SIGTERM, new jobs are accepted as usual for this time
+# After SIGTERM: jobs that come later must be answered before SIGKILL, and new connections may keep coming.
+SERVING_PERIOD_MS = 700.0
 # SIGKILL may follow SIGTERM after min(longest deadline, MAX_COUNTED_DEADLINE_MS) + SERVING_PERIOD_MS.
 MAX_COUNTED_DEADLINE_MS = 3_000.0
 # After SIGTERM. Dispatchers are stopped 3 s apart, and clients should reconnect to the next one before that.
@@ -25,6 +30,29 @@
 CHECK_INTERVAL_MS = 50.0  # between checks whether all jobs are answered
 
 
+@dataclass(slots=True, frozen=True)
+class ShutdownTimes:
+    """When the steps of a shutdown are due; clock readings, ms."""
+
+    limit_budgets: float  # jobs that are read from then on get no more time than is left
+    all_answered: float  # before the earliest SIGKILL
+    close_idle_clients: float
+    earliest_end: float  # of the process
+
+    @classmethod
+    def of_signal(cls, handled_at: float, longest_deadline_ms: float) -> ShutdownTimes:
+        """Return the times for a SIGTERM whose handler ran at a reading of the clock."""
+        earliest_sent_at = handled_at - MAX_PROCESS_PAUSE_MS
+        counted_deadline = min(longest_deadline_ms, MAX_COUNTED_DEADLINE_MS)
+        all_answered = earliest_sent_at + counted_deadline + SERVING_PERIOD_MS - KILL_MARGIN_MS
+        return cls(
+            limit_budgets=earliest_sent_at + SERVING_PERIOD_MS,
+            all_answered=all_answered,
+            close_idle_clients=min(handled_at + CLOSE_IDLE_AFTER_MS, all_answered),
+            earliest_end=handled_at + SERVING_PERIOD_MS,
+        )
+
+
 class Program(Protocol):
     """The program, as far as the shutdown uses it."""
 
@@ -56,29 +84,21 @@
         self.has_begun = False
         self.earliest_end = 0.0
 
-    def begin(self) -> None:
-        """Start the shutdown, unless it has started."""
+    def begin(self, signaled_at: float) -> None:
+        """Start the shutdown, unless it has started; ``signaled_at`` is when SIGTERM was handled, ms."""
         if self.has_begun:
             return
         self.has_begun = True
         self.log.write(
             "drain", f"{len(self.engine.jobs)} jobs in progress; shutting down once they are answered"
         )
-        self.server.drain()
-        longest = min(
-            max(job_class.deadline for job_class in self.engine.classes.values()), MAX_COUNTED_DEADLINE_MS
-        )
-        all_answered_after = longest + SERVING_PERIOD_MS - KILL_MARGIN_MS
-        self.server.shutdown_deadline = self.deadlines.now() + all_answered_after
-        self.earliest_end = self.deadlines.now() + SERVING_PERIOD_MS
-        self.deadlines.after(SERVING_PERIOD_MS, self.shorten_budgets)
-        self.deadlines.after(min(CLOSE_IDLE_AFTER_MS, all_answered_after), self.server.close_idle_clients)
+        longest_deadline = max(job_class.deadline for job_class in self.engine.classes.values())
+        times = ShutdownTimes.of_signal(signaled_at, longest_deadline)
+        self.earliest_end = times.earliest_end
+        self.server.drain(limit_budgets_from=times.limit_budgets, shutdown_deadline=times.all_answered)
+        self.deadlines.at(times.close_idle_clients, self.server.close_idle_clients)
         self.check()
 
-    def shorten_budgets(self) -> None:
-        """Limit the budgets of new jobs to the time left: a job unanswered at SIGKILL is lost."""
-        self.server.limits_budgets = True
-
     def check(self) -> None:
         """End the process once no work or client connection is left; else check again later."""
         if self.has_unfinished_work() or not self.is_input_drained():
--- a/tests/test_production_troubles.py
+++ b/tests/test_production_troubles.py
@@ -10,7 +10,7 @@
 import unittest
 from typing import Any
 
-from elderstall.engine.rules import MAX_PROCESS_PAUSE_MS
+from elderstall.clocks import MAX_PROCESS_PAUSE_MS
 from elderstall.net import http
 from elderstall.recovery.listing import MAX_RETRY_MS, ListCalls
 from tests.loopback import Loopback, PeerSocket
--- a/tests/test_shutdown_window.py
+++ b/tests/test_shutdown_window.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from unittest import mock
 
 from elderstall.net import http
 from tests.loopback import Loopback, PeerSocket
@@ -143,3 +144,75 @@
                     self.turn()
                     self.assertEqual(503, self.answer(late).status)
                     self.assertLessEqual(self.since_term(), self.kill_at)
+
+
+class PausedWindow(Window):
+    """The platform counts from when it sends SIGTERM, which may be before this process sees it."""
+
+    def start_idle(self) -> PeerSocket:
+        """Begin with classes of long deadlines, workers that hang, and a client that is connected."""
+        self.start(60_000.0)
+        client = self.client()
+        client.send(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n")
+        self.assertEqual(200, self.answer(client).status)
+        self.term = 1000 * self.loop.clock.seconds()
+        return client
+
+    def pause_with_data_read_first(self, ms: float) -> None:
+        """Pause the process in its wait for events: what has arrived is read before any timer runs."""
+        self.loop.clock.rightNow += ms / 1000
+        self.turn()
+        self.loop.clock.advance(0)
+
+    def assert_answered_before_sigkill(self, client: PeerSocket) -> None:
+        """See that the client's job is answered when SIGKILL may come, though its worker hangs."""
+        while self.since_term() < self.kill_at - PROCESS_PAUSE_MS:
+            self.wait(REQUEST_INTERVAL_MS)
+            self.collect(serve=False)
+        self.assertEqual([], self.unanswered(0.0))
+        self.assertEqual(504, self.sent_requests[0].answered)
+
+    def test_a_job_after_the_serving_period_is_answered_if_sigterm_met_a_paused_process(self) -> None:
+        """Incident 2026-12-05, 1: a job kept a deadline behind SIGKILL, as time counted from the handler."""
+        client = self.start_idle()
+        self.advance_clock_only(PROCESS_PAUSE_MS)  # the signal waits for the process
+        self.app.sigterm()
+        self.wait(SERVING_PERIOD_MS + 1 - self.since_term())
+        self.send(client)
+        self.collect(serve=False)
+        self.assert_answered_before_sigkill(client)
+
+    def test_a_job_after_the_serving_period_is_answered_if_the_reactor_turns_late(self) -> None:
+        """The handler of SIGTERM runs at once, and the reactor's turn comes after a long one."""
+        client = self.start_idle()
+        with mock.patch.object(self.loop, "callFromThread") as call_later:
+            self.app.sigterm()
+        self.advance_clock_only(400)
+        call, *args = call_later.call_args.args
+        call(*args)
+        self.wait(SERVING_PERIOD_MS + 1 - self.since_term())
+        self.send(client)
+        self.collect(serve=False)
+        self.assert_answered_before_sigkill(client)
+
+    def test_a_job_read_in_a_pause_that_crosses_the_serving_period_is_answered(self) -> None:
+        """The job is read before the timers that were due in the pause have run."""
+        client = self.start_idle()
+        self.app.sigterm()
+        self.wait(SERVING_PERIOD_MS - PROCESS_PAUSE_MS - 10)
+        self.loop.clock.rightNow += (PROCESS_PAUSE_MS + 11) / 1000
+        self.send(client)
+        self.assertGreater(self.sent_requests[0].at, SERVING_PERIOD_MS)
+        self.pause_with_data_read_first(1)
+        self.collect(serve=False)
+        self.assert_answered_before_sigkill(client)
+
+    def test_jobs_keep_their_deadline_while_sigkill_excuses_them(self) -> None:
+        """A job of the serving period, less the longest pause, is not cut short."""
+        client = self.start_idle()
+        self.app.sigterm()
+        self.wait(SERVING_PERIOD_MS - PROCESS_PAUSE_MS - 60)
+        self.send(client)
+        self.collect(serve=False)
+        job = self.app.engine.jobs.by_request_id["j1"]
+        self.assertEqual(60_000.0, job.deadline - job.arrived)
