Send a job again after a reset only once its worker has confirmed the cancel

Cause: the end of a connection without a 202 counted as the end of the attempt. The worker owns it from the request's last byte on, and a reset that loses the 202 changes nothing there. The DELETE before the next attempt had 0.1 s, less than a connection may take to come up, and was then aborted.

Change: messages.Acceptance tells "closed here after a long silence" (which gives an attempt up) from "the connection ended otherwise". Only the first goes on without a confirmation. Else the DELETE is repeated while its connections fail, for 2 s at most; a refused connection counts as a confirmation. It goes to the address that took the attempt, also where the worker has left the list. The same for a 500 or 503 on a reused connection that may be an earlier job's.

Changed tests: test_a_keyed_job_is_not_written_after_its_deduplication_window and test_a_keyed_job_is_not_retried_when_it_might_run_twice held back the next connection after the worker's close, which is the DELETE's now and no longer given up after 0.1 s. The DELETE is confirmed first, and the attempt's connection is held back instead; their checks are the same.

--- a/elderstall/engine/attempts.py
+++ b/elderstall/engine/attempts.py
@@ -12,12 +12,12 @@
 from elderstall.engine.answers import Answers
 from elderstall.engine.decision_feed import DecisionFeed
 from elderstall.engine.endpoint_feed import EndpointFeed
-from elderstall.engine.jobs import Attempt, Job, JobTable
+from elderstall.engine.jobs import Attempt, CancelBeforeSend, Job, JobTable
 from elderstall.engine.lifecycle import AttemptEvent, AttemptState, JobEvent
 from elderstall.engine.rules import Rules, Violation
 from elderstall.interface import AttemptEnded, AttemptProgressed, Ending, SendAttempt, Settings
 from elderstall.log import Log
-from elderstall.messages import AttemptTransport, Outcome, Served
+from elderstall.messages import Acceptance, AttemptTransport, Outcome, Served
 
 
 class Attempts:
@@ -50,16 +50,15 @@
     def send(self, action: SendAttempt) -> None:
         """Start an attempt once no cancel of an earlier one is pending.
 
-        An attempt that was not seen to be accepted is cancelled first; the send then continues even if the
-        worker does not confirm that cancel.
+        A failed attempt that its worker may have accepted is cancelled first, see ``messages.Acceptance``.
         """
         job = self.jobs.get(action.job)
         if job is None:
             return
         if job.cancel_before_send is not None:
-            worker = job.cancel_before_send
+            cancel = job.cancel_before_send
             job.cancel_before_send = None
-            self._cancel_on_worker(job, worker, confirmation_required=False)
+            self._cancel_on_worker(job, cancel.worker, confirmation_required=cancel.confirmation_required)
         if job.pending_cancels:
             job.advance(JobEvent.SEND_DECIDED)
             job.deferred_send = action
@@ -114,6 +113,8 @@
         A connection that ended without a 202 ends the attempt only if the worker had not written the 202,
         which cannot always be seen. If the worker has begun an answer, or has reported the start by
         call-back, it has the job: the attempt is cancelled there, as a retry would be a duplicate execution.
+        If it may have the job, it is cancelled there before a retry. Only where this side closed the
+        connection of a worker that had been silent for long does a retry not need a confirmation.
         """
         if outcome is None:
             attempt.advance(AttemptEvent.ACCEPTED)
@@ -121,12 +122,15 @@
         if attempt.job.attempt is attempt:
             broken = outcome.ending in (Ending.BROKEN, Ending.STALE_CONNECTION)
             confirmed = attempt.state is AttemptState.CONFIRMED
-            if outcome.answer_begun or (broken and confirmed):
+            if outcome.acceptance is Acceptance.LIKELY or (broken and confirmed):
                 attempt.advance(AttemptEvent.ACCEPTED)
                 self.cancel(attempt, outcome.ending if broken else Ending.BROKEN)
                 return
-            if outcome.maybe_accepted:
-                attempt.job.cancel_before_send = attempt.worker
+            if outcome.acceptance is not Acceptance.RULED_OUT:
+                attempt.job.cancel_before_send = CancelBeforeSend(
+                    attempt.worker,
+                    confirmation_required=outcome.acceptance is not Acceptance.UNLIKELY,
+                )
         self._ended(attempt, outcome)
 
     def _transport_failed(self, failure: Failure, attempt: Attempt) -> None:
--- a/elderstall/engine/job_transfer.py
+++ b/elderstall/engine/job_transfer.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from elderstall.clocks import SharedClock
-from elderstall.engine.jobs import Attempt, Job
+from elderstall.engine.jobs import Attempt, CancelBeforeSend, Job
 from elderstall.interface import DeduplicationScope, Effect, JobClass
 from elderstall.messages import Client, JobRequest
 
@@ -45,7 +45,7 @@
     ran_at: float | None
     may_call_back: tuple[str, ...]
     returned_by: tuple[str, ...]
-    cancel_before_send: str | None
+    cancel_before_send: CancelBeforeSend | None
     attempt: AttemptTransfer | None
 
     @classmethod
@@ -118,9 +118,10 @@
 
         Keys that differ from the fields: ``cid`` is ``request_id``, ``hint`` is ``work_hint``, ``sent`` is
         ``attempts``, ``ran`` is ``may_have_run``, ``unsure`` is ``may_call_back``, ``back`` is
-        ``returned_by``, and ``to_tell`` is ``cancel_before_send``.
+        ``returned_by``, and ``to_tell`` and ``to_confirm`` are the fields of ``cancel_before_send``.
         """
         attempt = self.attempt
+        cancel = self.cancel_before_send
         return {
             "cid": self.request_id,
             "cls": encode_class(self.cls),
@@ -136,7 +137,8 @@
             "ran_at": None if self.ran_at is None else clock.encode_reading(self.ran_at),
             "unsure": list(self.may_call_back),
             "back": list(self.returned_by),
-            "to_tell": self.cancel_before_send,
+            "to_tell": None if cancel is None else cancel.worker,
+            "to_confirm": cancel is not None and cancel.confirmation_required,
             "attempt": None
             if attempt is None
             else [
@@ -153,6 +155,10 @@
         arrived = clock.decode_reading(message["arrived"])
         deadline = clock.decode_reading(message["deadline"])
         ran_at = None if message.get("ran_at") is None else clock.decode_reading(message["ran_at"])
+        cancel = None
+        if (worker_to_tell := message.get("to_tell")) is not None:
+            # An earlier version does not send what it knows: the safe case is assumed.
+            cancel = CancelBeforeSend(worker_to_tell, message.get("to_confirm", True))
         attempt = None
         if message["attempt"] is not None:
             worker, sent_at, ends_at = message["attempt"]
@@ -179,7 +185,7 @@
             ran_at=ran_at,
             may_call_back=tuple(message["unsure"]),
             returned_by=tuple(message.get("back", ())),
-            cancel_before_send=message.get("to_tell"),
+            cancel_before_send=cancel,
             attempt=attempt,
         )
 
--- a/elderstall/engine/jobs.py
+++ b/elderstall/engine/jobs.py
@@ -59,6 +59,14 @@
         return self.state in (AttemptState.ACCEPTED, AttemptState.CONFIRMED)
 
 
+@dataclass(slots=True, frozen=True)
+class CancelBeforeSend:
+    """A worker that may have accepted a failed attempt: it is told to cancel the job before the next one."""
+
+    worker: str
+    confirmation_required: bool  # else the job goes on without one, as the connection was closed early
+
+
 @dataclass(slots=True, eq=False)
 class Job:
     """A job that has not been answered. Times are clock readings, ms."""
@@ -74,7 +82,7 @@
     attempt: Attempt | None = None  # in flight
     deferred_send: SendAttempt | None = None  # decided, but waits for pending cancels
     pending_cancels: int = 0  # cancels that workers have not yet confirmed
-    cancel_before_send: str | None = None  # worker that may have accepted a failed attempt: cancel first
+    cancel_before_send: CancelBeforeSend | None = None
     may_have_run: bool = False
     ran_at: float = math.inf  # when the first attempt that may have run was sent
     may_call_back: set[str] = field(default_factory=set)  # workers of earlier attempts that may have run
--- a/elderstall/messages.py
+++ b/elderstall/messages.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum
 from typing import Protocol
 
 from twisted.internet.defer import Deferred
@@ -54,6 +55,18 @@
 Answer = Served | Rejected | Failed
 
 
+class Acceptance(Enum):
+    """Whether a worker may have accepted an attempt that ended here without its acceptance being read.
+
+    Closing a connection gives an attempt up only if the worker had not written its acceptance by then.
+    """
+
+    RULED_OUT = "ruled out"  # the request was not written completely, or the worker's answer ends the attempt
+    UNLIKELY = "unlikely"  # this side closed the connection after the worker had been silent for long
+    POSSIBLE = "possible"  # the connection ended otherwise: the acceptance may have been lost with it
+    LIKELY = "likely"  # an answer had begun
+
+
 @dataclass(slots=True, frozen=True)
 class Outcome:
     """Outcome of an attempt or a poll, as seen by a transport."""
@@ -61,10 +74,8 @@
     ending: Ending
     result: bytes = b""
     report: tuple[float, ...] = ()  # the worker's load report, in the order of the settings' fields
-    # No acceptance was seen, but the worker may have the job: it is cancelled there before a further attempt.
-    maybe_accepted: bool = False
+    acceptance: Acceptance = Acceptance.RULED_OUT
     worker_unreachable: bool = False  # not connected, or a poll went unanswered: see routing/reach.py
-    answer_begun: bool = False  # no other attempt is sent unless the worker confirms a cancel
 
 
 class Client(Protocol):
@@ -101,9 +112,11 @@
         """
 
     def cancel_job(self, worker: str, request_id: str, confirmation_required: bool = True) -> Deferred[bool]:
-        """Cancel a job that a worker may have accepted; fires with whether the worker confirmed it.
+        """Cancel a job that a worker may have accepted; fires with whether it cannot run there any more.
 
-        The wait is short if the job can continue unconfirmed (``confirmation_required`` is false).
+        That is so if the worker confirmed the cancel, or if its process has ended. With
+        ``confirmation_required`` the cancel is repeated while connections fail; otherwise it is sent once,
+        and the wait is short.
         """
 
     def poll_load(self, worker: str) -> Deferred[Outcome]:
--- a/elderstall/net/upstream/connection.py
+++ b/elderstall/net/upstream/connection.py
@@ -13,9 +13,10 @@
 from elderstall.deadlines import Deadline, Deadlines
 from elderstall.interface import Ending
 from elderstall.log import Log
+from elderstall.messages import Acceptance
 from elderstall.net import http
 from elderstall.net.peer import has_unread_data
-from elderstall.net.upstream.exchange import Exchange, LastAnswer
+from elderstall.net.upstream.exchange import Exchange, LastAnswer, RequestFailure
 from elderstall.net.upstream.keep_alive import STALE_CONNECTION_WINDOW_MS, KeepAlive
 from elderstall.net.upstream.open_connections import OpenConnections
 from elderstall.net.upstream.request import WorkerRequest
@@ -124,7 +125,7 @@
         )
         self._release()
         if exchange is not None:
-            exchange.failed(Ending.NEVER_SENT)
+            exchange.failed(RequestFailure(Ending.NEVER_SENT))
 
     def write_failed(self) -> None:
         """Close the connection; when it has ended, the exchange fails as unreachable."""
@@ -184,10 +185,14 @@
             exchange.completed()
         else:
             self.last_answer = LastAnswer(
-                exchange, maybe_earlier_answer, maybe_earlier_answer and self.has_unfinished_answer
+                exchange, self._acceptance() if maybe_earlier_answer else Acceptance.RULED_OUT
             )
             self.drop(CloseReason.LAST_ANSWER)
 
+    def _acceptance(self) -> Acceptance:
+        """Return whether the worker may have accepted a request after an answer to an earlier one."""
+        return Acceptance.LIKELY if self.has_unfinished_answer else Acceptance.POSSIBLE
+
     @property
     def has_unread_input(self) -> bool:
         """Whether data or the connection's end is waiting that the reactor has not read yet."""
@@ -270,4 +275,5 @@
         if exchange.counts_for_keep_alive and self.is_recently_started:
             self.services.keep_alive.record_break(self.pool.name, self.idle_before_ms)
         answer_begun = self.close_reason is CloseReason.BAD_ANSWER or not self.parser.idle
-        exchange.failed(self.ending(assume_stale=self.is_recently_started), answer_begun=answer_begun)
+        ending = self.ending(assume_stale=self.is_recently_started)
+        exchange.failed(RequestFailure(ending, answer_begun=answer_begun))
--- a/elderstall/net/upstream/exchange.py
+++ b/elderstall/net/upstream/exchange.py
@@ -6,9 +6,24 @@
 from typing import Protocol
 
 from elderstall.interface import Ending
+from elderstall.messages import Acceptance
 from elderstall.net import http
 
 
+@dataclass(slots=True, frozen=True)
+class RequestFailure:
+    """The failure of a request before the end of its answer."""
+
+    # Unreachable: the connection was not established, or ended before the request's last byte was written.
+    # Never sent: the request timed out before its first byte, and the connection is kept. Timed out: a poll
+    # was not answered in time. Otherwise the connection has ended under the request.
+    ending: Ending
+    answer_begun: bool = False  # the worker had begun to answer, whether or not the answer was valid
+    worker_unreachable: bool = False  # see ``messages.Outcome``
+    # The connection was refused: the worker's process has ended, and every attempt at it with it.
+    connection_refused: bool = False
+
+
 class Exchange(Protocol):
     """Handles the events of one request and its answer, reported by the connection that carries them."""
 
@@ -25,6 +40,10 @@
         is therefore closed first.
         """
 
+    @property
+    def allows_closed_pool(self) -> bool:
+        """Whether it may still be sent after its worker was removed from the list, or has restarted."""
+
     def forbidden_by(self) -> str | None:
         """Return the name of a rule that now forbids the request, or None.
 
@@ -40,21 +59,15 @@
     def data_received(self, data: bytes) -> None:
         """Handle a piece of the answer's body."""
 
-    def completed(self, *, maybe_accepted: bool = False, answer_begun: bool = False) -> None:
+    def completed(self, acceptance: Acceptance = Acceptance.RULED_OUT) -> None:
         """Handle the answer's end.
 
-        ``maybe_accepted``: the answer may belong to an earlier request, so the worker may have accepted this
-        one. ``answer_begun``: another answer has begun after this one; it may be the one to this request.
+        ``acceptance`` of a job's request is possible if the answer may belong to an earlier request, and
+        likely if another answer has begun after it.
         """
 
-    def failed(self, ending: Ending, *, answer_begun: bool = False, worker_unreachable: bool = False) -> None:
-        """Handle a request that failed before the end of its answer.
-
-        Its connection was not established or has ended (unreachable if the request's last byte was not
-        written), the request timed out before its first byte (never sent, the connection is kept), or a poll
-        was not answered in time (timed out). ``answer_begun``: the worker had begun to answer, whether or not
-        the answer was valid. ``worker_unreachable``: see ``messages.Outcome``.
-        """
+    def failed(self, failure: RequestFailure) -> None:
+        """Handle a request that failed before the end of its answer."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -62,9 +75,8 @@
     """A complete answer that is reported once its connection has ended."""
 
     exchange: Exchange
-    maybe_accepted: bool  # both fields as in ``Exchange.completed``
-    answer_begun: bool
+    acceptance: Acceptance  # as in ``Exchange.completed``
 
     def report(self) -> None:
         """Report the answer's end to its exchange."""
-        self.exchange.completed(maybe_accepted=self.maybe_accepted, answer_begun=self.answer_begun)
+        self.exchange.completed(self.acceptance)
--- a/elderstall/net/upstream/job_exchange.py
+++ b/elderstall/net/upstream/job_exchange.py
@@ -9,9 +9,9 @@
 from twisted.internet.defer import Deferred
 
 from elderstall.deadlines import Deadline, Deadlines
-from elderstall.interface import Ending
-from elderstall.messages import JobRequest, Outcome
+from elderstall.messages import Acceptance, JobRequest, Outcome
 from elderstall.net import http
+from elderstall.net.upstream.exchange import RequestFailure
 from elderstall.net.upstream.handle import RequestHandle
 
 ACCEPT_TIMEOUT_FACTOR = 4.0  # of the connect timeout; without an answer by then the path is assumed broken
@@ -49,6 +49,7 @@
     """The exchange of one attempt: a 202, or an answer that ends the attempt."""
 
     counts_for_keep_alive = True
+    allows_closed_pool = False
     answer_statuses = frozenset({ACCEPTED, 500, 503, 504})  # the protocol's answers to a job
 
     def __init__(self, services: AttemptServices, attempt: JobAttempt) -> None:
@@ -98,7 +99,12 @@
             return
         self.services.handle_silent_worker(self.handle)
         ending = self.handle.abort()
-        self.finish(Outcome(ending, maybe_accepted=self.is_written, answer_begun=answer_begun))
+        acceptance = Acceptance.LIKELY if answer_begun else self._acceptance(Acceptance.UNLIKELY)
+        self.finish(Outcome(ending, acceptance=acceptance))
+
+    def _acceptance(self, if_written: Acceptance) -> Acceptance:
+        """Return ``if_written`` if the worker may have the whole request."""
+        return if_written if self.is_written else Acceptance.RULED_OUT
 
     def request_written(self) -> None:
         """Count the attempt and start the answer timeout, if one was set."""
@@ -129,27 +135,24 @@
     def data_received(self, data: bytes) -> None:
         """Ignore the body, which has no meaning here."""
 
-    def completed(self, *, maybe_accepted: bool = False, answer_begun: bool = False) -> None:
+    def completed(self, acceptance: Acceptance = Acceptance.RULED_OUT) -> None:
         """Report the outcome, unless the answer is a 202, which was reported with its head."""
         if self.message.status != ACCEPTED:
             outcome = self.services.read_outcome(self.message)
-            self.finish(replace(outcome, maybe_accepted=maybe_accepted, answer_begun=answer_begun))
+            self.finish(replace(outcome, acceptance=acceptance))
         elif self.timer is not None:
             self.timer.cancel()
 
-    def failed(self, ending: Ending, *, answer_begun: bool = False, worker_unreachable: bool = False) -> None:
+    def failed(self, failure: RequestFailure) -> None:
         """Report the connection's end, unless it follows a 202: then the worker has the job."""
         if self.timer is not None:
             self.timer.cancel()
         if self.message.status != ACCEPTED:
-            # A reset may have discarded a 202 in transit, so the worker may have the job.
+            # A reset may have discarded a 202 in transit: the worker may have the job, and run it on.
+            lost = self._acceptance(Acceptance.POSSIBLE)
+            acceptance = Acceptance.LIKELY if failure.answer_begun else lost
             self.finish(
-                Outcome(
-                    ending,
-                    maybe_accepted=self.is_written,
-                    answer_begun=answer_begun,
-                    worker_unreachable=worker_unreachable,
-                )
+                Outcome(failure.ending, acceptance=acceptance, worker_unreachable=failure.worker_unreachable)
             )
 
     # ---- the end ----
--- a/elderstall/net/upstream/load_exchange.py
+++ b/elderstall/net/upstream/load_exchange.py
@@ -9,8 +9,9 @@
 
 from elderstall.interface import Ending
 from elderstall.log import Log
-from elderstall.messages import Outcome
+from elderstall.messages import Acceptance, Outcome
 from elderstall.net import http
+from elderstall.net.upstream.exchange import RequestFailure
 from elderstall.net.upstream.responses import LoadReport
 
 POLL_TIMEOUT_FACTOR = 1.0  # of the connect timeout, for the answer
@@ -21,6 +22,7 @@
 
     allows_retry = False
     counts_for_keep_alive = True
+    allows_closed_pool = False
 
     def __init__(
         self, read_report: Callable[[object], LoadReport], log: Log, result: Deferred[Outcome]
@@ -46,7 +48,7 @@
         """Collect the report's bytes; the parser limits their number."""
         self.body += data
 
-    def completed(self, *, maybe_accepted: bool = False, answer_begun: bool = False) -> None:
+    def completed(self, acceptance: Acceptance = Acceptance.RULED_OUT) -> None:
         """Report the load report, or a full worker for any status other than 200."""
         report: LoadReport = ()
         if self.status == 200:
@@ -56,9 +58,9 @@
                 self.log.write("bad-answer", "load report cannot be parsed as JSON; ignoring it")
         self.finish(Outcome(Ending.SERVED if self.status == 200 else Ending.FULL, report=report))
 
-    def failed(self, ending: Ending, *, answer_begun: bool = False, worker_unreachable: bool = False) -> None:
+    def failed(self, failure: RequestFailure) -> None:
         """Report the end of the connection as the poll's ending."""
-        self.finish(Outcome(ending, worker_unreachable=worker_unreachable))
+        self.finish(Outcome(failure.ending, worker_unreachable=failure.worker_unreachable))
 
     def finish(self, outcome: Outcome) -> None:
         """Fire the result with the outcome, unless it has fired already."""
--- a/elderstall/net/upstream/pool.py
+++ b/elderstall/net/upstream/pool.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from twisted.internet.defer import CancelledError, Deferred, maybeDeferred
+from twisted.internet.error import ConnectionRefusedError as TcpConnectionRefusedError
 from twisted.internet.protocol import Factory
 from twisted.python.failure import Failure
 
@@ -12,7 +13,7 @@
 from elderstall.net import http
 from elderstall.net.upstream.connect_errors import is_local_error
 from elderstall.net.upstream.connection import CloseReason, Services, WorkerConnection
-from elderstall.net.upstream.exchange import Exchange
+from elderstall.net.upstream.exchange import Exchange, RequestFailure
 from elderstall.net.upstream.handle import RequestHandle
 from elderstall.net.upstream.request import WorkerRequest
 
@@ -113,7 +114,7 @@
             self._open(handle, request, max_body)
         else:
             self.services.log.write("limit", f"too many open connections; request to {self.name} not sent")
-            exchange.failed(Ending.UNREACHABLE)
+            exchange.failed(RequestFailure(Ending.UNREACHABLE))
         return handle
 
     def _open(self, handle: RequestHandle, request: WorkerRequest, max_body: int) -> None:
@@ -137,14 +138,15 @@
         exchange = handle.exchange
         if connection.has_unread_input:  # ended or unsolicited data, see ``_take_idle``
             connection.drop(CloseReason.WORKER_CLOSED)
-            exchange.failed(Ending.UNREACHABLE)
+            exchange.failed(RequestFailure(Ending.UNREACHABLE))
             return
         # A pool is closed if its worker is gone, has restarted or has a new address, and at shutdown.
-        reason = "the pool has been closed" if self.is_closed else exchange.forbidden_by()
+        is_closed = self.is_closed and not exchange.allows_closed_pool
+        reason = "the pool has been closed" if is_closed else exchange.forbidden_by()
         if reason is not None:
             self.services.log.write("rule", f"request not sent to {self.name} after connecting: {reason}")
             self.release(connection)
-            exchange.failed(Ending.UNREACHABLE)
+            exchange.failed(RequestFailure(Ending.UNREACHABLE))
             return
         connection.start(request, exchange, max_body)
 
@@ -155,7 +157,13 @@
             self.services.log.write(
                 "connect", f"connection to {self.name} failed: {type(failure.value).__name__}"
             )
-            handle.exchange.failed(Ending.UNREACHABLE, worker_unreachable=not is_local_error(failure.value))
+            handle.exchange.failed(
+                RequestFailure(
+                    Ending.UNREACHABLE,
+                    worker_unreachable=not is_local_error(failure.value),
+                    connection_refused=isinstance(failure.value, TcpConnectionRefusedError),
+                )
+            )
 
     def _log_error(self, failure: Failure) -> None:
         """Log an error in the program; the callers that wait have timeouts of their own."""
--- a/elderstall/net/upstream/streams.py
+++ b/elderstall/net/upstream/streams.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from elderstall.interface import Ending
-from elderstall.messages import Outcome
+from elderstall.messages import Acceptance, Outcome
 from elderstall.net import http
 from elderstall.net.event_stream import MEDIA_TYPE, EventParser, ServerEvent, parse_share
+from elderstall.net.upstream.exchange import RequestFailure
 from elderstall.net.upstream.handle import RequestHandle
 from elderstall.net.upstream.job_exchange import AttemptServices, JobAttempt, JobExchange
 from elderstall.net.upstream.pool import Pool
@@ -57,19 +58,19 @@
         elif event.event == "error":
             self.finish(Outcome(Ending.ERROR))
 
-    def completed(self, *, maybe_accepted: bool = False, answer_begun: bool = False) -> None:
+    def completed(self, acceptance: Acceptance = Acceptance.RULED_OUT) -> None:
         """Report the answer's end; a stream that ends without a result or an error is broken."""
         if self.event_parser is not None:
             self.finish(Outcome(Ending.BROKEN))
         else:
-            super().completed(maybe_accepted=maybe_accepted, answer_begun=answer_begun)
+            super().completed(acceptance)
 
-    def failed(self, ending: Ending, *, answer_begun: bool = False, worker_unreachable: bool = False) -> None:
+    def failed(self, failure: RequestFailure) -> None:
         """Report the connection's end; once a stream has begun, its job may have run."""
         if self.event_parser is not None:
             self.finish(Outcome(Ending.BROKEN))
         else:
-            super().failed(ending, answer_begun=answer_begun, worker_unreachable=worker_unreachable)
+            super().failed(failure)
 
     def finish(self, outcome: Outcome | None) -> None:
         """Report the attempt's outcome, once; the stream must then end within a timeout."""
--- a/elderstall/net/upstream/transport.py
+++ b/elderstall/net/upstream/transport.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from collections.abc import Callable
 from typing import NamedTuple, TypeVar
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, succeed
 from twisted.internet.protocol import Factory
 
 from elderstall.deadlines import Deadlines
@@ -13,12 +14,9 @@
 from elderstall.log import Log
 from elderstall.messages import JobRequest, Outcome
 from elderstall.net import http
-from elderstall.net.upstream.cancel_exchange import (
-    CANCEL_TIMEOUT_MS,
-    SHORT_CANCEL_TIMEOUT_FACTOR,
-    CancelExchange,
-)
+from elderstall.net.upstream.cancel_exchange import Cancel
 from elderstall.net.upstream.connection import Services, WorkerConnection
+from elderstall.net.upstream.exchange import RequestFailure
 from elderstall.net.upstream.handle import RequestHandle
 from elderstall.net.upstream.job_exchange import (
     ACCEPT_TIMEOUT_FACTOR,
@@ -30,9 +28,11 @@
 from elderstall.net.upstream.load_exchange import POLL_TIMEOUT_FACTOR, PollExchange
 from elderstall.net.upstream.open_connections import OpenConnections
 from elderstall.net.upstream.pool import Connect, Pool
-from elderstall.net.upstream.request import cancel_request, job_request, poll_request
+from elderstall.net.upstream.request import job_request, poll_request
 from elderstall.net.upstream.responses import LoadReport, read_outcome, read_report
 
+MAX_FORMER_ADDRESSES = 1_024  # of workers that are not listed any more, to which cancels may still be sent
+
 T = TypeVar("T")
 
 
@@ -66,6 +66,9 @@
         self.services = Services(deadlines, log, self.keep_alive, self.connections)
         self.on_written: Callable[[], None] = lambda: None  # called for each attempt written in full
         self.addresses: dict[str, WorkerAddress] = {}  # of all workers on the endpoint list, by name
+        self.former_addresses: OrderedDict[str, WorkerAddress] = (
+            OrderedDict()
+        )  # of removed workers, oldest first
         self.pools: dict[str, Pool] = {}  # by worker; created at the first request to it
 
     # ---- the endpoint list ----
@@ -76,10 +79,15 @@
         if self.addresses.get(name) != worker_address:
             self.remove_endpoint(name)
             self.addresses[name] = worker_address
+            self.former_addresses.pop(name, None)
 
     def remove_endpoint(self, name: str) -> None:
         """Remove a worker's address and close its pool: delisted, changed address, restart or shutdown."""
-        self.addresses.pop(name, None)
+        former = self.addresses.pop(name, None)
+        if former is not None:
+            self.former_addresses[name] = former
+            if len(self.former_addresses) > MAX_FORMER_ADDRESSES:
+                self.former_addresses.popitem(last=False)
         self.close_pool(name)
 
     def close_pool(self, worker: str) -> None:
@@ -104,6 +112,14 @@
             )
         return pool
 
+    def _pool_for_cancel(self, worker: str) -> Pool | None:
+        """Return a pool for the address at which a worker is or was listed, or None if that is forgotten."""
+        pool = self._pool_for(worker)
+        if pool is None and (former := self.former_addresses.get(worker)) is not None:
+            pool = Pool(self.services, worker, former.address, self._open_connection)
+            pool.close()  # keeps no connection afterwards
+        return pool
+
     def _open_connection(self, address: str, factory: Factory) -> Deferred[WorkerConnection]:
         """Open a connection with the current ``connect``, which may be replaced after a pool was created."""
         return self.connect(address, factory)
@@ -170,22 +186,12 @@
 
     def cancel_job(self, worker: str, request_id: str, confirmation_required: bool = True) -> Deferred[bool]:
         """Cancel a job that a worker may have accepted; see ``messages.AttemptTransport``."""
-        result: Deferred[bool] = Deferred()
-        pool = self._pool_for(worker)
+        pool = self._pool_for_cancel(worker)
         if pool is None:
-            result.callback(False)
-            return result
-        exchange = CancelExchange(result)
-        handle = pool.start_request(cancel_request(request_id, pool.address), exchange)
-
-        def on_timeout() -> None:
-            handle.abort()
-            exchange.finish(confirmed=False)
-
-        timeout_ms = (
-            CANCEL_TIMEOUT_MS if confirmation_required else self.connect_timeout * SHORT_CANCEL_TIMEOUT_FACTOR
-        )
-        return self._with_timeout(result, timeout_ms, on_timeout)
+            return succeed(False)
+        cancel = Cancel(self, pool, request_id, repeats=confirmation_required)
+        cancel.send_delete()
+        return cancel.result
 
     def poll_load(self, worker: str) -> Deferred[Outcome]:
         """Poll a worker for its load report; see ``messages.AttemptTransport``."""
@@ -200,7 +206,7 @@
         def on_timeout() -> None:
             handle.abort()
             pool.close_idle_connections()  # they may no longer reach the worker either
-            exchange.failed(Ending.TIMED_OUT, worker_unreachable=True)
+            exchange.failed(RequestFailure(Ending.TIMED_OUT, worker_unreachable=True))
 
         return self._with_timeout(result, self.connect_timeout * POLL_TIMEOUT_FACTOR, on_timeout)
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -922,8 +922,10 @@
         side.send(self.job("a1", "stamp"))
         worker = self.take("POST a1")
         self.wait(200)
-        self.held = []
         worker.sock.close()  # it may have run
+        cancel = self.take("DELETE /jobs/a1")
+        self.held = []
+        cancel.send(http.response(404))
         self.until(lambda: bool(self.held))
         self.wait(230)
         self.release_connections()
--- a/tests/test_production_troubles.py
+++ b/tests/test_production_troubles.py
@@ -292,8 +292,10 @@
         side.send(self.job("a1", "stamp"))
         worker = self.take("POST a1")
         self.wait(100)
-        self.held = []
         worker.sock.close()  # it may have run
+        cancel = self.take("DELETE /jobs/a1")
+        self.held = []
+        cancel.send(http.response(404))
         self.until(lambda: bool(self.held))
         self.wait(KEYED_CLASS["memory_span"] - MAX_PROCESS_PAUSE_MS - 100 + 1)  # type: ignore[operator]
         self.release_connections()
--- a/tests/test_second_copies.py
+++ b/tests/test_second_copies.py
@@ -11,8 +11,11 @@
 import unittest
 from typing import Any
 
+from twisted.internet.defer import Deferred
+from twisted.internet.error import TimeoutError as ConnectTimeoutError
+
 from elderstall.net import http
-from tests.loopback import Loopback, PeerSocket, reactor
+from tests.loopback import Loopback, PeerSocket, address_of, reactor
 from tests.scenario import CLASSES, CLOSED
 
 THUMBS_CLASS = {"name": "thumbs", "points": 3, "aim": 3000, "deadline": 9000, "effect": "safe"}
@@ -69,10 +72,14 @@
 
     def confirm_cancel(self, first: PeerSocket, request_id: str = "a1") -> None:
         """Check that the job is cancelled on the worker before it is sent again."""
+        self.confirm_cancel_at(self.name(first), request_id)
+
+    def confirm_cancel_at(self, worker: str, request_id: str = "a1") -> None:
+        """Check that the job is cancelled on the worker of a name before it is sent again."""
         self.turn()
         self.assertNotIn(f"POST {request_id}", [name for name, _ in self.came()])
         asked = self.take(f"DELETE /jobs/{request_id}")
-        self.assertEqual(self.name(first), self.name(asked))
+        self.assertEqual(worker, self.name(asked))
         asked.send(http.response(200))
 
     def next_attempt(self, request_id: str = "a1") -> PeerSocket:
@@ -171,6 +178,95 @@
         asked.send(http.response(404))  # it has no such job
         self.finish_job(side, self.take("POST a1"))
 
+    def reset(self, worker: PeerSocket) -> str:
+        """Reset a worker's connection, so that what it had written is lost; return the worker's name."""
+        name = self.name(worker)
+        worker.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        worker.sock.close()
+        return name
+
+    def fail_connections(self, worker: str, count: int) -> None:
+        """Let the next connections to a worker time out instead of coming up."""
+        connect = self.app.workers.connect
+        failing_address = address_of(self.listeners[int(worker[1:]) - 1])
+        failures = iter(range(count))
+
+        def time_out(_: object) -> None:
+            raise ConnectTimeoutError
+
+        def connect_late(address: str, pool: Any) -> Deferred[Any]:
+            if address != failing_address or next(failures, None) is None:
+                return connect(address, pool)
+            late: Deferred[Any] = Deferred()
+            clock: Any = self.loop.clock
+            late.addTimeout(self.app.workers.connect_timeout / 1000, clock)
+            return late.addErrback(time_out)
+
+        self.app.workers.connect = connect_late
+
+    def test_after_a_reset_a_job_waits_for_a_cancel_whose_connection_is_late(self) -> None:
+        """Incident 2026-12-05, 2: a second copy went out 0.1 s after a reset that had lost the 202."""
+        self.begin()
+        side, worker = self.send_job()
+        name = self.reset(worker)
+        self.held = []  # the connection for the DELETE does not come up yet
+        self.wait(200)
+        self.assert_nothing_received()
+        self.release_connections()
+        self.confirm_cancel_at(name)
+        self.finish_job(side, self.take("POST a1"))
+
+    def test_after_a_reset_a_cancel_is_repeated_while_connections_time_out(self) -> None:
+        self.begin()
+        side, worker = self.send_job()
+        name = self.reset(worker)
+        self.fail_connections(name, 5)  # 250 ms each
+        self.wait(1_000)
+        self.assert_nothing_received()
+        self.wait(500)
+        self.confirm_cancel_at(name)
+        self.finish_job(side, self.take("POST a1"))
+
+    def test_after_a_reset_an_unconfirmed_cancel_prevents_a_retry(self) -> None:
+        self.begin()
+        side, worker = self.send_job()
+        self.fail_connections(self.reset(worker), 100)
+        self.wait(2_100)
+        self.assertEqual(503, self.answer(side).status)
+        self.assert_nothing_received()
+
+    def test_after_a_reset_a_worker_that_is_not_listed_any_more_is_sent_the_cancel(self) -> None:
+        self.begin()
+        side, worker = self.send_job()
+        name = self.reset(worker)
+        self.held = []  # the connection for the DELETE
+        self.until(lambda: bool(self.held))
+        self.send_list(50, whole=False, **{name: "gone"})
+        self.release_connections()
+        self.confirm_cancel_at(name)
+        self.finish_job(side, self.take("POST a1"))
+
+    def test_a_worker_that_left_the_list_before_the_reset_is_sent_the_cancel(self) -> None:
+        self.begin()
+        side, worker = self.send_job()
+        self.send_list(50, whole=False, **{self.name(worker): "gone"})
+        self.confirm_cancel_at(self.reset(worker))
+        self.finish_job(side, self.take("POST a1"))
+
+    def test_an_answer_that_may_be_an_earlier_jobs_and_an_unconfirmed_cancel_prevent_a_retry(self) -> None:
+        """The job may have been taken just before its connection was closed here."""
+        self.begin()
+        self.open_idle_connections()
+        side, worker = self.send_job()
+        self.fail_connections(self.name(worker), 100)
+        other = [connection for connection in self.app.workers.connections if connection.exchange is None]
+        for connection in other:
+            connection.close_idle()
+        worker.send(http.response(503, headers=(("X-Rejected", "1"),)))
+        self.wait(2_100)
+        self.assertEqual(503, self.answer(side).status)
+        self.assert_nothing_received()
+
     def test_if_the_workers_process_has_ended_the_job_is_retried_at_once(self) -> None:
         self.begin()
         side, worker = self.send_job()
