Cancel the test loop's timers after its connections have ended, not before

The end of a connection may set a timer now: a cancel is repeated when its connection fails. The test loop had cancelled its clock's timers first, so the program's single reactor call was stale, and setting a timer raised AlreadyCancelled after the test. test_worker_socket_errors, which looks for unhandled errors, failed where it ran after test_second_copies (8 subtests of one run; alone: 21 passed). No check changes. All tests on this loop and test_worker_socket_errors: 311 passed, 1444 subtests.

--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -137,8 +137,6 @@
         return sock
 
     def end(self) -> None:
-        for timer in self.loop.clock.getDelayedCalls():
-            timer.cancel()  # type: ignore[misc]
         for connection in [*self.app.server.connections, *self.app.workers.connections]:
             connection.transport.abortConnection()
         self.app.discovery.close()
@@ -147,6 +145,8 @@
         for side in [*self.sides, *self.watches]:
             side.sock.close()
         self.turn()
+        for timer in self.loop.clock.getDelayedCalls():  # last, as the ends of connections may set some
+            timer.cancel()  # type: ignore[misc]
 
     # ---- turns and time ----
 
