Break the reference cycle that kept each finished job until a full collection

Only a full garbage collection frees a cycle, and that comes when a quarter of the long-lived objects wait for it.

Change: the exchange drops the attempt when its outcome is reported or not wanted any more (JobExchange.detach), and its handle at its end.

--- a/elderstall/net/upstream/job_exchange.py
+++ b/elderstall/net/upstream/job_exchange.py
@@ -45,6 +45,11 @@
         """Log that a worker does not answer a request, and close the idle connections to it."""
 
 
+def never_forbidden() -> str | None:
+    """Return None: no rule forbids an attempt whose outcome is reported already."""
+    return None
+
+
 class JobExchange:
     """The exchange of one attempt: a 202, or an answer that ends the attempt."""
 
@@ -54,7 +59,7 @@
 
     def __init__(self, services: AttemptServices, attempt: JobAttempt) -> None:
         self.services = services
-        self.result = attempt.result
+        self.result: Deferred[Outcome | None] | None = attempt.result  # until it fires or is not wanted
         self.message = http.Message((1, 1), http.Headers())
         self.forbidden_by = attempt.forbidden_by
         self.timer: Deadline | None = None
@@ -63,6 +68,11 @@
         self.is_written = False  # to its last byte
         self.has_extended_timeout = False  # once, as the answer had begun when the timeout expired
 
+    @property
+    def is_finished(self) -> bool:
+        """Whether the outcome has been reported or is not wanted any more."""
+        return self.result is None
+
     @property
     def allows_retry(self) -> bool:
         """Whether the answer is a 500, 503 or 504, after which the job may be attempted again."""
@@ -77,10 +87,11 @@
         deadline and occupy its worker. The timeout counts from the request's last byte; until that is
         written, the connect timeout is added.
         """
+        if self.is_finished:
+            return
         self.handle = handle
         self.answer_timeout = timeout_ms
-        if not self.result.called:
-            self._start_timer(timeout_ms if self.is_written else timeout_ms + self.services.connect_timeout)
+        self._start_timer(timeout_ms if self.is_written else timeout_ms + self.services.connect_timeout)
 
     def _start_timer(self, timeout_ms: float) -> None:
         """Restart the answer timeout."""
@@ -90,7 +101,7 @@
 
     def _on_answer_timeout(self) -> None:
         """Abort the attempt; if the worker has begun to answer, first extend the timeout once to read it."""
-        if self.result.called or self.handle is None:
+        if self.is_finished or self.handle is None:
             return
         answer_begun = self.handle.has_answer_begun
         if answer_begun and not self.has_extended_timeout:
@@ -110,7 +121,7 @@
         """Count the attempt and start the answer timeout, if one was set."""
         self.services.on_written()
         self.is_written = True
-        if self.answer_timeout and not self.result.called:
+        if self.answer_timeout and not self.is_finished:
             self._start_timer(self.answer_timeout)
 
     # ---- the answer ----
@@ -142,6 +153,7 @@
             self.finish(replace(outcome, acceptance=acceptance))
         elif self.timer is not None:
             self.timer.cancel()
+        self.handle = None
 
     def failed(self, failure: RequestFailure) -> None:
         """Report the connection's end, unless it follows a 202: then the worker has the job."""
@@ -154,17 +166,35 @@
             self.finish(
                 Outcome(failure.ending, acceptance=acceptance, worker_unreachable=failure.worker_unreachable)
             )
+        self.handle = None
 
     # ---- the end ----
 
-    def abort(self) -> None:
-        """Close the connection if it still carries the request."""
-        if self.handle is not None:
-            self.handle.abort()
+    def abort(self) -> bool:
+        """Close the connection if it still carries the request; return whether an answer had begun."""
+        handle = self.handle
+        self.handle = None
+        if handle is None:
+            return False
+        answer_begun = handle.has_answer_begun
+        handle.abort()
+        return answer_begun
 
     def finish(self, outcome: Outcome | None) -> None:
         """Fire the result with the outcome, unless it has fired already."""
+        result = self.detach()
+        if result is not None:
+            result.callback(outcome)
+
+    def detach(self) -> Deferred[Outcome | None] | None:
+        """Drop the references to the attempt, and return its result if that has not fired yet.
+
+        The attempt refers to this exchange. A reference cycle would keep the job's body in memory until the
+        next full garbage collection.
+        """
         if self.timer is not None:
             self.timer.cancel()
-        if not self.result.called:
-            self.result.callback(outcome)
+        result = self.result
+        self.result = None
+        self.forbidden_by = never_forbidden
+        return result
--- a/elderstall/net/upstream/streams.py
+++ b/elderstall/net/upstream/streams.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+from twisted.internet.defer import Deferred
+
 from elderstall.interface import Ending
 from elderstall.messages import Acceptance, Outcome
 from elderstall.net import http
 from elderstall.net.event_stream import MEDIA_TYPE, EventParser, ServerEvent, parse_share
 from elderstall.net.upstream.exchange import RequestFailure
-from elderstall.net.upstream.handle import RequestHandle
 from elderstall.net.upstream.job_exchange import AttemptServices, JobAttempt, JobExchange
 from elderstall.net.upstream.pool import Pool
 from elderstall.net.upstream.request import job_request
@@ -17,6 +18,10 @@
 NO_BODY_LIMIT = 0  # a stream is forwarded piece by piece, so its total size is not limited
 
 
+def ignore_progress(share: float, text: str) -> None:
+    """Ignore the progress of an attempt whose outcome is reported already."""
+
+
 class StreamExchange(JobExchange):
     """The exchange of one attempt whose answer may be a stream."""
 
@@ -72,6 +77,11 @@
         else:
             super().failed(failure)
 
+    def detach(self) -> Deferred[Outcome | None] | None:
+        """Drop the references to the attempt, see ``JobExchange.detach``."""
+        self.on_progress = ignore_progress
+        return super().detach()
+
     def finish(self, outcome: Outcome | None) -> None:
         """Report the attempt's outcome, once; the stream must then end within a timeout."""
         if self.has_reported_outcome:
@@ -85,7 +95,7 @@
 class StreamTransport(WorkerTransport):
     """The transport of attempts that requests event streams from workers."""
 
-    def start_attempt(self, pool: Pool, attempt: JobAttempt) -> RequestHandle:
+    def start_attempt(self, pool: Pool, attempt: JobAttempt) -> StreamExchange:
         """Start the exchange of an attempt.
 
         No answer timeout is set: a stream may begin only when its job starts, as late as the deadline.
@@ -95,4 +105,4 @@
         exchange.handle = pool.start_request(
             request, exchange, max_body=NO_BODY_LIMIT, repeatable=attempt.request.repeatable
         )
-        return exchange.handle
+        return exchange
--- a/elderstall/net/upstream/transport.py
+++ b/elderstall/net/upstream/transport.py
@@ -153,26 +153,27 @@
         forbidden_by: Callable[[], str | None],
     ) -> Deferred[Outcome | None]:
         """Start an attempt; see ``messages.AttemptTransport``."""
-        handles: list[RequestHandle] = []
-
-        def abort(_: object) -> None:
-            for handle in handles:
-                answer_begun = handle.has_answer_begun
-                handle.abort()
-                if answer_begun:
-                    # It may be a 202, after which the worker has the job: it is reported as accepted.
-                    result.callback(None)
-
-        result: Deferred[Outcome | None] = Deferred(abort)
+        exchanges: list[JobExchange] = []
+        result: Deferred[Outcome | None] = Deferred(lambda sending: self._abort_attempt(sending, exchanges))
         pool = self._pool_for(worker)
         if pool is None:
             result.callback(Outcome(Ending.UNREACHABLE))
             return result
         attempt = JobAttempt(request, ends_at, on_progress, forbidden_by, result)
-        handles.append(self.start_attempt(pool, attempt))
+        exchanges.append(self.start_attempt(pool, attempt))
         return result
 
-    def start_attempt(self, pool: Pool, attempt: JobAttempt) -> RequestHandle:
+    @staticmethod
+    def _abort_attempt(result: Deferred[Outcome | None], exchanges: list[JobExchange]) -> None:
+        """Abort the exchange of an attempt whose result was cancelled."""
+        for exchange in exchanges:
+            answer_begun = exchange.abort()
+            exchange.detach()
+            if answer_begun:
+                # It may be a 202, after which the worker has the job: it is reported as accepted.
+                result.callback(None)
+
+    def start_attempt(self, pool: Pool, attempt: JobAttempt) -> JobExchange:
         """Start the exchange of an attempt."""
         exchange = JobExchange(self, attempt)
         repeatable = attempt.request.repeatable
@@ -182,7 +183,7 @@
         request = job_request(attempt.request, pool.address, attempt.ends_at)
         handle = pool.start_request(request, exchange, repeatable=repeatable)
         exchange.wait_for_answer(handle, timeout_ms)
-        return handle
+        return exchange
 
     def cancel_job(self, worker: str, request_id: str, confirmation_required: bool = True) -> Deferred[bool]:
         """Cancel a job that a worker may have accepted; see ``messages.AttemptTransport``."""
