Set no timer for a connection that is lost already as it is ended

Callers saw: the process grew far past its memory limit under clients whose jobs are refused and which come again. After 4 s 1,890 live deadlines belonged to lost connections, where some 500 were open.

Cause: ClosingConnection.end closed the transport, then set the timer that aborts it. Where the writing side is closed, the transport calls connectionLost at once, so the timer came after it, and held the connection and the head of its request for 1 s, or 20 s where an answer was unwritten. shed put its end off to the next turn the same way.

Evidence: two tests of tests/test_memory.py, EndedConnections, failed before ("4 != 5") and pass now.

Change: set_end_timer sets each step of a connection's end in the one timer that connectionLost cancels; end sets it before it closes.

--- a/elderstall/net/server/closing.py
+++ b/elderstall/net/server/closing.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from typing import Any
+
 from elderstall.net import http
 from elderstall.net.peer import has_peer_closed, has_unread_data, has_unwritten_data
 from elderstall.net.server.admission import Activity
@@ -80,8 +83,7 @@
 
     def watch_writing(self) -> None:
         """Start the time-out for the peer to read its answer."""
-        self.cancel_timeout()
-        self.timeout = self.server.deadlines.after(self.server.timeouts.write, self.abort_slow_reader)
+        self.set_end_timer(self.server.timeouts.write, self.abort_slow_reader)
 
     def abort_slow_reader(self) -> None:
         """Abort the connection of a peer that does not read."""
@@ -144,8 +146,7 @@
         """Close this side of the connection."""
         self.transport.unregisterProducer()
         self.transport.loseWriteConnection()
-        self.cancel_timeout()
-        self.timeout = self.server.deadlines.after(LINGER_TIMEOUT_MS, self.end, self.reason)
+        self.set_end_timer(LINGER_TIMEOUT_MS, self.end, self.reason)
 
     def end(self, reason: CloseReason) -> None:
         """Close the connection."""
@@ -156,10 +157,20 @@
             self.transport.unregisterProducer()
         self.server.table.set_activity(self, None)
         self.mark_ending()
-        self.transport.loseConnection()
         # A peer that reads nothing would hold the connection for ever; a slow one still gets its answer.
         delay = self.server.timeouts.write if has_unwritten_data(self.transport) else LINGER_TIMEOUT_MS
-        self.timeout = self.server.deadlines.after(delay, self.transport.abortConnection)
+        # Set first, as the transport may call connectionLost at once, which cancels it.
+        self.set_end_timer(delay, self.transport.abortConnection)
+        self.transport.loseConnection()
+
+    def set_end_timer(self, delay: float, call: Callable[..., object], *args: Any) -> None:
+        """Schedule the next step of the connection's end after a delay, ms.
+
+        Replaces the time-out, and is cancelled when the connection is lost: a step that comes later would
+        keep a lost connection in memory.
+        """
+        self.cancel_timeout()
+        self.timeout = self.server.deadlines.after(delay, call, *args)
 
     def mark_ending(self) -> None:
         """Record that the descriptor will soon be free."""
@@ -172,7 +183,7 @@
         if self.closing:  # ended in the next turn, as ending may call connectionLost at once
             self.server.table.set_activity(self, None)
             self.mark_ending()
-            self.server.deadlines.after(0.0, self.end, self.reason)
+            self.set_end_timer(0.0, self.end, self.reason)
             return
         if self.message is not None or not self.parser.idle:
             self.count_rejected()
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -7,8 +7,11 @@
 
 from elderstall.engine.jobs import Attempt, Job
 from elderstall.net import http
+from elderstall.net.server.closing import LINGER_TIMEOUT_MS
+from elderstall.net.server.connection import ServerConnection
 from elderstall.net.upstream.job_exchange import JobExchange
 from tests.loopback import Loopback, PeerSocket
+from tests.scenario import CLOSED
 
 
 def tracked_jobs() -> list[object]:
@@ -26,6 +29,11 @@
         self.addCleanup(gc.enable)
         self.of_other_tests = tracked_jobs()
 
+    def connection(self) -> ServerConnection:
+        """Return the only connection of a client."""
+        (connection,) = self.app.server.connections
+        return connection
+
     def worker_name(self, worker: PeerSocket) -> str:
         ports = [sock.getsockname()[1] for sock in self.listeners]
         return f"w{ports.index(worker.sock.getsockname()[1]) + 1}"
@@ -77,5 +85,41 @@
         self.assert_freed()
 
 
+class EndedConnections(Memory):
+    """A connection that is lost leaves no timer: each would keep it in memory until it is due."""
+
+    def refused_client(self) -> tuple[PeerSocket, ServerConnection]:
+        """Return a client whose request was refused, and which keeps its end open."""
+        client = self.client()
+        client.send(b"POST /nothing HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n")
+        self.assertEqual(404, self.answer(client).status)
+        self.turn()
+        return client, self.connection()
+
+    def assert_no_timer_left(self, timers: int) -> None:
+        self.turn()
+        self.assertEqual(0, len(self.app.server.connections))
+        self.assertEqual(timers, self.app.deadlines.active_count)
+
+    def test_a_connection_that_lingered_for_the_longest_time_leaves_no_timer(self) -> None:
+        """Incident 2026-12-05, 4: hundreds of lost connections were kept for up to 20 s each."""
+        self.begin()
+        self.turn()
+        timers = self.app.deadlines.active_count
+        self.refused_client()
+        self.advance_clock_only(LINGER_TIMEOUT_MS + 1)
+        self.assert_no_timer_left(timers)
+
+    def test_a_lingering_connection_that_is_lost_as_it_is_shed_leaves_no_timer(self) -> None:
+        self.begin()
+        self.turn()
+        timers = self.app.deadlines.active_count
+        _, connection = self.refused_client()
+        connection.shed()  # ends it in the next turn
+        connection.transport.connectionLost(CLOSED)
+        self.advance_clock_only(1)
+        self.assert_no_timer_left(timers)
+
+
 if __name__ == "__main__":
     unittest.main()
