Count the memory of request heads, and free what is kept of refused requests

Callers saw: with 48 MiB told, 700 clients that stop after 60 of 64 KiB or send whole jobs with 96 fields took the process to 56 and 58 MiB (34.7 idle), while the bytes counted as kept stayed at their limit of 3 MiB.

Cause: kept bytes were bodies and unparsed input alone. Beside them stood heads (96 short fields: 16 KB of objects; a refused one as long as its connection lingers), bytes the parser had consumed (16 KB a connection, until more come) and up to four cancelled deadlines for each live one.

Evidence: five tests of tests/test_memory.py, KeptRequests, failed before ("5 failed, 5 passed") and pass now.

Change: Message.memory_bytes counts a head, from its arrival to the answer; drop_request frees a request that will not be answered; Buffer.take empties a buffer that is consumed; the heap of deadlines is rebuilt at two entries a live one.

--- a/elderstall/deadlines.py
+++ b/elderstall/deadlines.py
@@ -10,6 +10,7 @@
 from elderstall.clocks import SharedClock, wall_offset
 
 MIN_HEAP_SIZE_TO_COMPACT = 1024  # a smaller heap is not worth rebuilding
+MAX_CANCELLED_FACTOR = 2  # the heap is rebuilt once it has more than this many entries for each live one
 
 
 def unix_now() -> float:
@@ -79,7 +80,8 @@
         self.last_number += 1
         self.active_count += 1
         heapq.heappush(self.heap, (when, self.last_number, deadline))
-        if len(self.heap) > max(MIN_HEAP_SIZE_TO_COMPACT, 4 * self.active_count) and not self.running:
+        max_heap_size = max(MIN_HEAP_SIZE_TO_COMPACT, MAX_CANCELLED_FACTOR * self.active_count)
+        if len(self.heap) > max_heap_size and not self.running:
             # Bounds memory: a connection's idle timer is cancelled and set again with each request.
             self.heap = [entry for entry in self.heap if entry[2].call is not None]
             heapq.heapify(self.heap)
--- a/elderstall/net/buffer.py
+++ b/elderstall/net/buffer.py
@@ -20,9 +20,7 @@
 
     def append(self, data: bytes) -> None:
         """Append received bytes, first moving the remainder to the front where much is consumed."""
-        if self.start == len(self.data):
-            self.clear()
-        elif self.start >= MIN_CONSUMED_TO_COMPACT and self.start * 2 >= len(self.data):
+        if self.start >= MIN_CONSUMED_TO_COMPACT and self.start * 2 >= len(self.data):
             del self.data[: self.start]
             self.searched = max(0, self.searched - self.start)
             self.start = 0
@@ -50,4 +48,6 @@
         taken = bytes(self.data[self.start : self.start + length])
         self.start += len(taken)
         self.searched = self.start
+        if self.start == len(self.data):
+            self.clear()  # a peer may be silent for long now
         return taken
--- a/elderstall/net/http.py
+++ b/elderstall/net/http.py
@@ -13,6 +13,7 @@
 MAX_HEAD_BYTES = 16 * 1024  # also of all trailers together
 MAX_HEADERS = 100
 MAX_BODY_BYTES = 64 * 1024
+FIELD_OVERHEAD_BYTES = 160  # of the objects that hold one header field, beside its text
 TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+\Z")
 TARGET = re.compile(rb"[\x21-\x7e]+\Z")
 VALUE = re.compile(rb"[\t\x20-\x7e\x80-\xff]*\Z")
@@ -86,6 +87,12 @@
     method: str = ""  # of a request
     target: str = ""
     status: int = 0  # of a response
+    head_bytes: int = 0  # of the text of the head
+
+    @property
+    def memory_bytes(self) -> int:
+        """The approximate memory that the message occupies."""
+        return self.head_bytes + len(self.headers.fields) * FIELD_OVERHEAD_BYTES + len(self.body)
 
     def to_fields(self) -> dict[str, Any]:
         """Return a complete request as JSON-serializable data."""
@@ -102,7 +109,9 @@
         """Return the request that ``to_fields`` has encoded."""
         major, minor = data["version"]
         headers = Headers((name, value) for name, value in data["headers"])
-        return cls((major, minor), headers, data["body"].encode("latin-1"), data["method"], data["target"])
+        message = cls((major, minor), headers, data["body"].encode("latin-1"), data["method"], data["target"])
+        message.head_bytes = sum(len(name) + len(value) for name, value in headers.fields)
+        return message
 
     @property
     def keep_alive(self) -> bool:
@@ -259,6 +268,7 @@
             raise MessageError(431, "too many header fields")
         message = self.parse_response_line(lines[0]) if self.responses else self.parse_request_line(lines[0])
         message.headers = Headers(self.parse_field(line) for line in lines[1:])
+        message.head_bytes = length
         self.size = self.extra = 0
         self.set_framing(message)
         return Head(message)
--- a/elderstall/net/server/closing.py
+++ b/elderstall/net/server/closing.py
@@ -94,7 +94,7 @@
 
     def count_kept_bytes(self) -> None:
         """Update the kept bytes; refuse an incomplete request if the total is over the limit."""
-        kept = 0 if self.closing else len(self.parser.buffer) + self.body_size
+        kept = 0 if self.closing else len(self.parser.buffer) + self.request_bytes
         self.server.kept.total += kept - self.kept_bytes
         self.kept_bytes = kept
         unfinished = kept and not self.busy and not self.closing
@@ -128,9 +128,7 @@
             self.stage = Stage.CLOSING
         self.reason = reason
         self.server.table.set_activity(self, Activity.LINGERING)
-        self.parser.buffer.clear()
-        self.body_parts = []
-        self.body_size = 0
+        self.drop_request()
         self.count_kept_bytes()
         if self.paused is discard:  # reading continues only to discard
             self.paused = not discard
@@ -142,6 +140,15 @@
         else:
             self.close_writing()
 
+    def drop_request(self) -> None:
+        """Free the memory of what has been received."""
+        self.parser.buffer.clear()
+        self.message = None
+        self.job_request = None
+        self.original = None
+        self.body_parts = []
+        self.request_bytes = 0
+
     def close_writing(self) -> None:
         """Close this side of the connection."""
         self.transport.unregisterProducer()
--- a/elderstall/net/server/connection.py
+++ b/elderstall/net/server/connection.py
@@ -81,7 +81,7 @@
         if job is not None:
             self.reason = CloseReason.CLIENT_GONE
             self.server.engine.client_disconnected(job)
-        self.body_size = 0
+        self.request_bytes = 0
         self.count_kept_bytes()
         table.set_activity(self, None)
         table.ending_count -= self.stage is Stage.ENDING
--- a/elderstall/net/server/handing_over.py
+++ b/elderstall/net/server/handing_over.py
@@ -183,7 +183,7 @@
         connection.original = http.Message.from_fields(fields["parcel"])
         connection.busy = True
         connection.close_after = fields["last"]
-        connection.body_size = len(connection.original.body)
+        connection.request_bytes = connection.original.memory_bytes
         connection.transfer = self.engine.decode_transfer(fields["job"])
         connection.server.table.set_activity(connection, None)
         connection.cancel_timeout()
--- a/elderstall/net/server/request_connection.py
+++ b/elderstall/net/server/request_connection.py
@@ -108,7 +108,7 @@
             self.begin_request(event.message)
         elif isinstance(event, http.Data):
             self.body_parts.append(event.data)
-            self.body_size += len(event.data)
+            self.request_bytes += len(event.data)
         elif self.message is not None:
             self.handle_request(self.message)
 
@@ -116,7 +116,7 @@
         """Check a head before its body is received, so that an error is answered without reading on."""
         self.message = message
         self.body_parts = []
-        self.body_size = 0
+        self.request_bytes = message.memory_bytes
         if message.version >= (1, 1) and len(message.headers.all("Host")) != 1:
             raise http.MessageError(400, "Host is missing or stands twice")
         self.job_request = self.server.check_head(message)
@@ -172,7 +172,7 @@
         self.busy = False
         self.job = None
         self.original = None
-        self.body_size = 0
+        self.request_bytes = 0
         if close:
             self.linger(self.server.close_reason(), discard=False)
         elif self.blocked:
--- a/elderstall/net/server/state.py
+++ b/elderstall/net/server/state.py
@@ -119,7 +119,7 @@
         self.message: http.Message | None = None
         self.job_request: JobRequest | None = None  # parsed from its head
         self.body_parts: list[bytes] = []
-        self.body_size = 0  # bytes, also during its job
+        self.request_bytes = 0  # the memory of its head and of the body so far, also during its job
         self.kept_bytes = 0  # counted for this connection
         self.message_began_at = 0.0
         self.last_received_at = 0.0
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import gc
+import sys
 import unittest
 
+from elderstall.deadlines import MIN_HEAP_SIZE_TO_COMPACT
 from elderstall.engine.jobs import Attempt, Job
 from elderstall.net import http
 from elderstall.net.server.closing import LINGER_TIMEOUT_MS
@@ -13,6 +15,8 @@
 from tests.loopback import Loopback, PeerSocket
 from tests.scenario import CLOSED
 
+MANY_FIELDS = "".join(f"X-F{number}: {number:08d}\r\n" for number in range(90)).encode()
+
 
 def tracked_jobs() -> list[object]:
     """Return what the collector knows of jobs and their attempts."""
@@ -121,5 +125,80 @@
         self.assert_no_timer_left(timers)
 
 
+class KeptRequests(Memory):
+    """What is kept of requests is counted, and freed once it is of no use."""
+
+    def large_job(self) -> bytes:
+        """Return a job of the largest size with a head of many short fields."""
+        data = self.job("a1").replace(b"Accept: */*\r\n", MANY_FIELDS)
+        length = b"Content-Length: %d" % http.MAX_BODY_BYTES
+        head = data.replace(b"Content-Length: 4", length).partition(b"\r\n\r\n")[0]
+        return head + b"\r\n\r\n" + b"x" * http.MAX_BODY_BYTES
+
+    def test_the_objects_of_a_head_count_as_kept(self) -> None:
+        """Incident 2026-12-05, 5: a head of 96 short fields occupies 16 KB, and counted as nothing."""
+        self.begin()
+        client = self.client()
+        client.send(self.large_job()[: -http.MAX_BODY_BYTES])
+        self.turn()
+        message = self.connection().message
+        assert message is not None
+        text_and_objects = sum(
+            sys.getsizeof(field) + sys.getsizeof(field[0]) + sys.getsizeof(field[1])
+            for field in message.headers.fields
+        )
+        self.assertGreater(self.app.server.kept.total, 0.9 * text_and_objects)
+
+    def test_a_jobs_head_counts_until_its_answer(self) -> None:
+        self.begin()
+        client = self.client()
+        client.send(self.large_job())
+        worker = self.take("POST a1")
+        self.assertGreater(self.app.server.kept.total, http.MAX_BODY_BYTES + len(MANY_FIELDS))
+        worker.send(http.response(202))
+        self.turn()
+        self.call_back("a1", worker=self.worker_name(worker))
+        self.assertEqual(200, self.answer(client).status)
+        self.turn()
+        self.assertEqual(0, self.app.server.kept.total)
+
+    def test_a_refused_request_is_freed_while_its_connection_lingers(self) -> None:
+        self.begin()
+        self.app.server.kept.limit = 1
+        client = self.client()
+        client.send(self.large_job()[:-1])
+        self.until(lambda: client.read() or bool(client.messages))  # type: ignore[func-returns-value]
+        self.assertEqual(503, client.messages[0].status)
+        connection = self.connection()
+        self.assertTrue(connection.closing)
+        self.assertEqual(
+            (None, None, []), (connection.message, connection.job_request, connection.body_parts)
+        )
+        self.assertEqual(0, len(connection.parser.buffer.data))
+
+    def test_bytes_that_the_parser_has_consumed_are_freed_before_more_come(self) -> None:
+        self.begin()
+        client = self.client()
+        client.send(self.large_job()[:-1])
+        self.until(lambda: bool(self.app.server.kept.total))
+        self.turn(40)
+        self.assertGreater(self.app.server.kept.total, http.MAX_BODY_BYTES)
+        self.assertEqual(0, len(self.connection().parser.buffer.data))
+
+    def test_cancelled_deadlines_are_dropped(self) -> None:
+        """Each request cancels some; they must not outnumber the live ones by far."""
+        self.begin()
+        deadlines = self.app.deadlines
+        for _ in range(3 * MIN_HEAP_SIZE_TO_COMPACT):
+            deadlines.after(1_000.0, self.turn).cancel()
+        self.assertLessEqual(len(deadlines.heap), MIN_HEAP_SIZE_TO_COMPACT)
+        live = [deadlines.after(1_000.0, self.turn) for _ in range(MIN_HEAP_SIZE_TO_COMPACT)]
+        for _ in range(9 * MIN_HEAP_SIZE_TO_COMPACT):
+            deadlines.after(1_000.0, self.turn).cancel()
+        self.assertLessEqual(len(deadlines.heap), 2 * deadlines.active_count + 1)
+        for deadline in live:
+            deadline.cancel()
+
+
 if __name__ == "__main__":
     unittest.main()
