End an idle connection in the step that found nothing unread on it

Callers saw: beside 700 clients that write slowly or stop half way, 2 to 9 of 80 jobs of a steady client were closed without an answer.

Cause: an idle connection that is shed is looked at (nothing unread), and Twisted closes it in the reactor's next iteration. Under this load that took up to 130 ms, and a job that came meanwhile was reset: shed at 65.049, job sent at 65.094, closed at 65.176, from the client's ports beside the steps of the same connections.

Evidence: three tests of tests/test_closing.py failed before ("3 failed, 26 passed") and pass now: shed, idle time-out, planned end.

Change: peer.end_writing ends this side at once, unless an answer is unwritten.

--- a/elderstall/net/peer.py
+++ b/elderstall/net/peer.py
@@ -6,7 +6,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import select
+import socket
 from typing import Any
 
 # Without POLLRDHUP the system does not report a closed sending direction behind unread bytes.
@@ -46,6 +48,19 @@
     return bool(poll_events(source, READABLE_OR_CLOSED_EVENTS, unknown=select.POLLIN))
 
 
+def end_writing(transport: Any) -> bool:
+    """Tell the peer that nothing more will be written; return False if data is still unwritten.
+
+    A transport does so only in the reactor's next iteration, which may take long on a busy machine. A client
+    that is told at once sends its next request over another connection.
+    """
+    if transport.fileno() < 0 or has_unwritten_data(transport):
+        return False
+    with contextlib.suppress(OSError):
+        transport.getHandle().shutdown(socket.SHUT_WR)
+    return True
+
+
 def has_unwritten_data(transport: Any) -> bool:
     """Return whether the transport holds bytes not yet written to the socket; False for one in memory."""
     queued: int = getattr(transport, "_tempDataLen", 0)
--- a/elderstall/net/server/closing.py
+++ b/elderstall/net/server/closing.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from elderstall.net import http
-from elderstall.net.peer import has_peer_closed, has_unread_data, has_unwritten_data
+from elderstall.net.peer import end_writing, has_peer_closed, has_unread_data, has_unwritten_data
 from elderstall.net.server.admission import Activity
 from elderstall.net.server.requests import BUSY_RETRY_AFTER_MS, HeaderFields, retry_after
 from elderstall.net.server.state import CloseReason, ConnectionState, Stage
@@ -152,7 +152,9 @@
     def close_writing(self) -> None:
         """Close this side of the connection."""
         self.transport.unregisterProducer()
-        self.transport.loseWriteConnection()
+        # After it the transport must not write, not even nothing: it would take the error for a broken peer.
+        if not end_writing(self.transport):
+            self.transport.loseWriteConnection()
         self.set_end_timer(LINGER_TIMEOUT_MS, self.end, self.reason)
 
     def end(self, reason: CloseReason) -> None:
@@ -164,6 +166,7 @@
             self.transport.unregisterProducer()
         self.server.table.set_activity(self, None)
         self.mark_ending()
+        end_writing(self.transport)
         # A peer that reads nothing would hold the connection for ever; a slow one still gets its answer.
         delay = self.server.timeouts.write if has_unwritten_data(self.transport) else LINGER_TIMEOUT_MS
         # Set first, as the transport may call connectionLost at once, which cancels it.
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -275,6 +275,36 @@
         self.serve(first, "a1")
         self.assertTrue(self.is_closed(second))
 
+    def test_a_client_sees_at_once_that_its_idle_connection_is_shed(self) -> None:
+        """Incident 2026-12-05, 6: a job sent before the reactor's next turn was closed without an answer."""
+        self.begin()
+        client = self.keep_alive_client("a1")
+        self.connection(client).shed()
+        self.assertTrue(self.is_closed(client))  # before the reactor's next turn
+
+    def test_a_client_sees_at_once_that_its_idle_connection_has_timed_out(self) -> None:
+        self.begin()
+        client = self.keep_alive_client("a1")
+        self.advance_clock_only(self.app.server.timeouts.idle + 1)
+        self.assertTrue(self.is_closed(client))
+
+    def test_a_client_sees_at_once_that_its_idle_connection_ends_with_the_program(self) -> None:
+        self.begin()
+        client = self.keep_alive_client("a1")
+        self.app.server.close_idle_clients()
+        self.assertTrue(self.is_closed(client))
+
+    def test_an_answer_that_is_unwritten_as_its_connection_is_shed_comes_before_the_end(self) -> None:
+        self.begin()
+        client = self.client()
+        client.send(self.job("a1")[:-1])
+        self.turn()
+        self.connection(client).shed()
+        self.assertFalse(self.is_closed(client))
+        self.turn()
+        self.assertTrue(self.is_closed(client))
+        self.assertEqual(503, client.messages[0].status)
+
     def test_client_in_the_middle_of_a_request_is_told_to_retry(self) -> None:
         for part in (20, -2):  # of the head, of the body
             with self.subTest(part):
