Test a real process beside hostile clients: memory limit and a steady client

Six tests play nine pictures of 4 s each against a process started as the deploy file says, with 48 MiB and 1,024 descriptors told: large jobs with many fields, bodies and heads that stop, slow writers, unsound requests under new names, and one client at full speed with small requests, unsound ones, jobs and callbacks. The process must stay within what it is told, and a steady client must get an answer to each job; beside one client at full speed, each job served.

On whole_jobs, half_bodies and slow_writers took 59, 58 and 54 MiB, and 2 to 9 of 80 steady jobs were closed.

The bounds are the memory that is told and the job's own time.

--- a/tests/memory_trial.py
+++ b/tests/memory_trial.py
@@ -8,6 +8,7 @@
 import asyncio
 import json
 import os
+import select
 import subprocess
 import sys
 import tempfile
@@ -25,6 +26,9 @@
 WORKERS = 8
 SLOTS = 2  # jobs that a worker runs at a time
 RUN_S = 0.05  # of a job
+MAX_CALLBACKS = 10  # until one is acknowledged
+CALLBACK_TIMEOUT_S = 2.0
+CALLBACK_PAUSE_S = 0.2  # between callbacks
 JOB_INTERVAL_S = 0.1  # of the steady client
 JOB_BUDGET_MS = 5_000
 ANSWER_TIMEOUT_S = 6.0  # a job's time and a second
@@ -113,17 +117,25 @@
             await asyncio.sleep(RUN_S)
         call = {"id": request_id, "from": self.name, "state": "done", "result": request_id}
         request = encode("POST /callback HTTP/1.1", json.dumps(call).encode(), Host="dispatcher")
-        for _ in range(10):
-            try:
-                reader, writer = await asyncio.open_connection(HOST, self.dispatcher_port)
-                writer.write(request)
-                answer = await asyncio.wait_for(read_message(reader), 2.0)
-                writer.close()
-                if answer.status in (200, 204):
-                    return
-            except (OSError, EOFError, asyncio.IncompleteReadError, TimeoutError):
-                pass
-            await asyncio.sleep(0.2)
+        for _ in range(MAX_CALLBACKS):
+            if await self.call_back(request):
+                return
+            await asyncio.sleep(CALLBACK_PAUSE_S)
+
+    async def call_back(self, request: bytes) -> bool:
+        """Make one callback; return whether it was acknowledged."""
+        try:
+            reader, writer = await asyncio.open_connection(HOST, self.dispatcher_port)
+        except OSError:
+            return False
+        try:
+            writer.write(request)
+            answer = await asyncio.wait_for(read_message(reader), CALLBACK_TIMEOUT_S)
+        except (OSError, EOFError, asyncio.IncompleteReadError, TimeoutError):
+            return False
+        finally:
+            writer.close()
+        return answer.status in (200, 204)
 
 
 @dataclass
@@ -155,6 +167,15 @@
                 line = b"\n"
         except (OSError, EOFError, asyncio.IncompleteReadError):
             pass
+        finally:
+            writer.close()
+
+
+def has_peer_ended(writer: asyncio.StreamWriter) -> bool:
+    """Return whether the other side has ended the connection, even if the loop has not read that yet."""
+    poll = select.poll()
+    poll.register(writer.get_extra_info("socket").fileno(), select.POLLRDHUP)
+    return bool(poll.poll(0))
 
 
 @dataclass
@@ -173,6 +194,8 @@
             calls.append(asyncio.ensure_future(self.call(f"steady{number}")))
             await asyncio.sleep(JOB_INTERVAL_S)
         await asyncio.gather(*calls)
+        for _, writer in self.idle:
+            writer.close()
 
     async def call(self, request_id: str) -> None:
         """Send one job and count its outcome."""
@@ -202,7 +225,7 @@
         )
         while self.idle:
             reader, writer = self.idle.pop()
-            if reader.at_eof():
+            if reader.at_eof() or has_peer_ended(writer):
                 writer.close()
                 continue
             sent_at = time.monotonic()
@@ -290,6 +313,15 @@
     raise TimeoutError("the dispatcher is not ready")
 
 
+async def close_stand_ins() -> None:
+    """End the connections of the stand-ins, which close them as they are cancelled."""
+    tasks = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    await asyncio.sleep(0)
+
+
 async def play(picture: str, memory_mb: int, seconds: float, sockets: int = 1024, log: str = "") -> Result:
     """Play one picture against a dispatcher that is told a memory limit."""
     discovery = Discovery()
@@ -335,6 +367,7 @@
                 if started is not None:
                     started.kill()
                     started.wait()
+            await close_stand_ins()
     runs: Counter[str] = Counter()
     for worker in workers:
         runs.update(worker.runs)
