Hold back a request behind a job until its client is seen not to have left

Callers saw: a client sent a job and 2 MB behind it, closed, and had its second job sent to a worker 0.3 s later, as the first was answered.

Cause: the system is asked whether the client is there, and knows an end behind unread bytes. But where more was sent than both systems keep for a connection that is not read, the end waits on the client's side. It belongs to a time before the answer; what was asked for was the state of this side's buffer.

Change: a client's system that has closed resets the connection when an answer arrives. Where unread bytes stand behind an answered job, the next request waits 10 ms and the connection is looked at again. A client that sends one request at a time waits for nothing. The first job of such a client is not covered.

A changed test: test_a_connected_client_gets_all_its_responses lets these 10 ms pass; its checks are the same.

--- a/elderstall/net/server/connection.py
+++ b/elderstall/net/server/connection.py
@@ -73,7 +73,7 @@
         table = self.server.table
         if self.stage is Stage.OPEN:
             self.stage = Stage.CLOSING
-        for deadline in (self.timeout, self.departure_check):
+        for deadline in (self.timeout, self.departure_check, self.receipt_check):
             if deadline is not None:
                 deadline.cancel()
         job = self.job
--- a/elderstall/net/server/request_connection.py
+++ b/elderstall/net/server/request_connection.py
@@ -6,7 +6,7 @@
 
 from elderstall.messages import Answer, JobRequest, Rejected, Served
 from elderstall.net import http
-from elderstall.net.peer import has_peer_closed, has_unread_data
+from elderstall.net.peer import has_peer_closed, has_unread_data, has_unwritten_data
 from elderstall.net.server.admission import Activity
 from elderstall.net.server.closing import ClosingConnection
 from elderstall.net.server.requests import HeaderFields, RequestError, retry_after
@@ -15,6 +15,7 @@
 # Kept behind the current request: one of maximum size.
 MAX_READ_AHEAD_BYTES = http.MAX_HEAD_BYTES + http.MAX_BODY_BYTES
 MAX_READ_AHEAD_OVER_LIMIT_BYTES = 4 * 1024  # used while the kept bytes are over the limit
+RECEIPT_WAIT_MS = 10.0  # from an answer to the reset by a client that has left, within a data centre
 RESULT_HEADERS = (("Content-Type", "application/octet-stream"),)
 
 
@@ -67,7 +68,7 @@
             return
         self.is_processing = True
         try:
-            while not (self.busy or self.blocked or self.closing):
+            while not (self.is_waiting or self.closing):
                 event = self.parser.next()
                 if event is None:
                     break
@@ -86,6 +87,11 @@
         self.count_kept_bytes()
         self.limit_read_ahead()
 
+    @property
+    def is_waiting(self) -> bool:
+        """Whether the next request has to wait for the current one, for its answer or for the peer."""
+        return self.busy or self.blocked or self.receipt_check is not None
+
     def refuse_request(self, denied: RequestError) -> None:
         """Answer a refused request with its error, and close."""
         self.refuse(denied.status, CloseReason.BAD_REQUEST, denied.body, denied.headers)
@@ -95,7 +101,7 @@
         max_read_ahead = (
             MAX_READ_AHEAD_OVER_LIMIT_BYTES if self.server.kept.is_over_limit else MAX_READ_AHEAD_BYTES
         )
-        full = (self.busy or self.blocked) and len(self.parser.buffer) > max_read_ahead
+        full = self.is_waiting and len(self.parser.buffer) > max_read_ahead
         if full != self.paused and not self.closing:
             self.paused = full
             (self.transport.pauseProducing if full else self.transport.resumeProducing)()
@@ -169,6 +175,7 @@
 
     def finish_request(self, *, close: bool) -> None:
         """Close the connection or continue with the next request after an answer."""
+        after_job = self.original is not None
         self.busy = False
         self.job = None
         self.original = None
@@ -178,9 +185,9 @@
         elif self.blocked:
             self.watch_writing()
         else:
-            self.await_request()
+            self.await_request(after_job=after_job)
 
-    def await_request(self) -> None:
+    def await_request(self, *, after_job: bool = False) -> None:
         """Wait for the next request, or handle one that has been received already."""
         if self.server.hand_over_idle(self):
             return
@@ -190,8 +197,31 @@
         self.set_timeout(self.server.timeouts.idle, CloseReason.IDLE)
         if not self.parser.idle:
             self.expect_request(self.server.deadlines.now())
+            if after_job and has_unread_data(self.transport):
+                self.await_receipt()
         self.process_received()
 
+    def await_receipt(self) -> None:
+        """Hold back the next request until a client that has left would have reset the connection.
+
+        The end of a client that sent much during its job and left stands behind all that it sent, and cannot
+        be seen while some of it is unread. Its system resets the connection when the answer arrives.
+        """
+        self.receipt_check = self.server.deadlines.after(RECEIPT_WAIT_MS, self.check_receipt)
+
+    def check_receipt(self) -> None:
+        """Continue with the next request, unless the client has left."""
+        self.receipt_check = None
+        if self.closing or self.busy:
+            return
+        if has_peer_closed(self.transport):
+            self.reason = CloseReason.CLIENT_GONE
+            self.transport.abortConnection()
+        elif has_unwritten_data(self.transport):
+            self.await_receipt()
+        else:
+            self.process_received()
+
     # ---- the job's client ----
 
     def answered(self, answer: Answer) -> None:
--- a/elderstall/net/server/state.py
+++ b/elderstall/net/server/state.py
@@ -111,6 +111,8 @@
         self.grace_used = False  # timed out; data unread at that time is being read
         # Checks for the peer's end while nothing is read.
         self.departure_check: Deadline | None = None
+        # Holds back a request that was sent before the last answer, while its client may have left.
+        self.receipt_check: Deadline | None = None
         # The three flags.
         self.busy = False  # a request is being handled
         self.blocked = False  # the peer does not read
--- a/tests/test_client_departure.py
+++ b/tests/test_client_departure.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import os
 import socket
@@ -14,12 +15,14 @@
 from typing import Any
 
 from elderstall.net import http
+from elderstall.net.peer import has_peer_closed
 from tests.loopback import Loopback, PeerSocket
 from tests.scenario import CLASSES
 
 PROCESS_DELAY_MS = 150.0  # for which the process may be delayed between two turns of its reactor
 LONG_DEADLINE_CLASS = {"name": "album", "points": 4, "aim": 4000, "deadline": 9000, "effect": "safe"}
 ACCEPTED = http.response(202)
+MUCH_BYTES = 1024 * 1024  # more than the systems of both ends keep for a connection that is not read
 
 
 class Leaving(Loopback):
@@ -198,6 +201,26 @@
         self.addCleanup(self.listeners[0].close)
         self.assert_no_attempt()
 
+    def test_jobs_behind_the_first_are_not_sent_on_while_their_clients_end_is_out_of_sight(self) -> None:
+        """Incident 2026-12-05, 7: a client sent much, left, and had its second job sent on 0.3 s later.
+
+        More than the system takes is sent, so that the client's end stays behind it.
+        """
+        self.begin()
+        client = self.send_job("first")
+        self.take("POST first").send(ACCEPTED)
+        self.turn()
+        client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, MUCH_BYTES)
+        with contextlib.suppress(BlockingIOError):
+            client.send(self.job("gone") + b"x" * (10 * MUCH_BYTES))
+        self.turn()
+        client.sock.close()
+        self.wait(300)
+        connection = next(connection for connection in self.app.server.connections if connection.is_client)
+        self.assertFalse(has_peer_closed(connection.transport))
+        self.call_back("first")
+        self.assert_no_attempt()
+
     def test_request_and_end_are_read_together(self) -> None:
         self.begin()
         client = self.client()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -11,7 +11,7 @@
 from elderstall.net import http
 from elderstall.net.handover.messages import ConnectionTransfer, RequestTaken
 from elderstall.net.server.closing import DEPARTURE_CHECK_INTERVAL_MS
-from elderstall.net.server.request_connection import MAX_READ_AHEAD_BYTES
+from elderstall.net.server.request_connection import MAX_READ_AHEAD_BYTES, RECEIPT_WAIT_MS
 from tests.loopback import Loopback, PeerSocket, address_of
 from tests.scenario import CLASSES, RULES, entry
 
@@ -232,6 +232,7 @@
         self.take("POST a1").send(http.response(202))
         self.wait(3 * DEPARTURE_CHECK_INTERVAL_MS)
         self.call_back("a1")
+        self.wait(RECEIPT_WAIT_MS + 1)
         for status in [200] * (1 + PIPELINED_REQUESTS.count(b"GET")):
             self.assertEqual(status, self.answer(side).status)
         self.assertFalse(connection.paused)
