Keep the ids of jobs that ran apart from those of rejected ones, also in upgrades

Callers saw: a job whose client had left ran again under the same id once 4,096 other jobs had been closed, all of them rejected without an attempt; after an upgrade the new process kept 4,096 of the 8,192 and more that the former refused.

Cause: one bounded set held the ids of all closed jobs, so what was rejected evicted what ran; and the ids handed to the next process went into one of the same size, in the order taken, answered, live.

Change: JobTable.forwarded holds ids of jobs that were sent to a worker, and only those; never_forwarded the others. The next process has room for twice as many (MAX_PEER_PROCESS_IDS), and gets first what may be lost first (known_ids).

--- a/elderstall/engine/jobs.py
+++ b/elderstall/engine/jobs.py
@@ -23,9 +23,10 @@
 from elderstall.messages import Client, JobRequest, Outcome
 from elderstall.slots import SLOT_MASK, Slots
 
-# Ids of answered jobs, and of jobs of the peer process; a repeat of an evicted id is accepted as a new job.
-# At 100 jobs/s an answered job's id is kept for 41 s.
+# Ids of closed jobs; a repeat of an evicted id is accepted as a new job. At 100 jobs/s one is kept for 41 s.
 MAX_RECENT_IDS = 4_096
+# Ids of the peer process of an upgrade: those that it has closed, and as many that it takes meanwhile.
+MAX_PEER_PROCESS_IDS = 2 * MAX_RECENT_IDS
 
 
 class TooManyJobsError(Exception):
@@ -158,8 +159,11 @@
     def __init__(self, max_open: int) -> None:
         self.live: Slots[Job] = Slots(max_open)
         self.by_request_id: dict[str, Job] = {}
-        self.answered = RecentIds()
-        self.taken_by_other_process = RecentIds()  # the peer process of an upgrade
+        self.forwarded = RecentIds()  # of closed jobs that were sent to a worker
+        # Of closed jobs that were not, in a set of their own: a client can have thousands rejected in a
+        # second, which must not evict the ids of jobs that ran.
+        self.never_forwarded = RecentIds()
+        self.taken_by_other_process = RecentIds(MAX_PEER_PROCESS_IDS)  # the peer process of an upgrade
         self.on_accepted: Callable[[str], None] = lambda request_id: None
 
     def __len__(self) -> int:
@@ -175,7 +179,11 @@
 
     def is_known(self, request_id: str) -> bool:
         """Return whether this process has accepted an id."""
-        return request_id in self.by_request_id or request_id in self.answered
+        return (
+            request_id in self.by_request_id
+            or request_id in self.forwarded
+            or request_id in self.never_forwarded
+        )
 
     def check_new(self, request_id: str) -> None:
         """Raise RepeatedIdError or TooManyJobsError if a new job cannot be accepted."""
@@ -202,7 +210,7 @@
     def remove(self, job: Job) -> None:
         """Remove a closed job and record its id."""
         self._remove(job)
-        self.answered.add(job.request.request_id)
+        (self.forwarded if job.attempts else self.never_forwarded).add(job.request.request_id)
 
     def export_job(self, job: Job) -> None:
         """Remove a job that the peer process takes over."""
@@ -213,6 +221,11 @@
         self.live.remove(job.number)
         del self.by_request_id[job.request.request_id]
 
+    @property
+    def known_ids(self) -> list[str]:
+        """The ids that must not be accepted again, for a successor; those to evict first come first."""
+        return [*self.never_forwarded, *self.taken_by_other_process, *self.forwarded, *self.by_request_id]
+
     def live_attempt(self, request_id: str, worker: str) -> Attempt | None:
         """Return a request's attempt in flight at a worker, to match the worker's call-back, or None."""
         job = self.by_request_id.get(request_id)
--- a/elderstall/upgrade/state_transfer.py
+++ b/elderstall/upgrade/state_transfer.py
@@ -25,7 +25,6 @@
     def export_state(self, discovery_address: str) -> ProcessState:
         """Return the state of this process for its successor."""
         view = self.engine.view
-        jobs = self.engine.jobs
         clock = self.deadlines.shared()
         return ProcessState(
             clock=clock,
@@ -37,7 +36,7 @@
                 worker: (clock.encode_reading(since), clock.encode_reading(until))
                 for worker, (since, until) in view.ended_bans.items()
             },
-            request_ids=[*jobs.taken_by_other_process, *jobs.answered, *jobs.by_request_id],
+            request_ids=self.engine.jobs.known_ids,
             streamed=self.server.streamed_ids(),
             learned=encode_learned(self.engine.decisions.learned(), view, clock),
             connections=len(self.server.connections),
