Drop an attempt's handle as its worker stays silent, too

The exchange of an attempt that ends by the wait for an answer kept its handle, and the handle keeps the exchange: a small cycle, without the job. A test for a silent worker joins tests/test_memory.py, ReferenceCycles; it failed before (1 failed, 10 passed) and passes now. The map of former addresses is declared on one line.

--- a/elderstall/net/upstream/job_exchange.py
+++ b/elderstall/net/upstream/job_exchange.py
@@ -110,6 +110,7 @@
             return
         self.services.handle_silent_worker(self.handle)
         ending = self.handle.abort()
+        self.handle = None
         acceptance = Acceptance.LIKELY if answer_begun else self._acceptance(Acceptance.UNLIKELY)
         self.finish(Outcome(ending, acceptance=acceptance))
 
--- a/elderstall/net/upstream/transport.py
+++ b/elderstall/net/upstream/transport.py
@@ -66,9 +66,8 @@
         self.services = Services(deadlines, log, self.keep_alive, self.connections)
         self.on_written: Callable[[], None] = lambda: None  # called for each attempt written in full
         self.addresses: dict[str, WorkerAddress] = {}  # of all workers on the endpoint list, by name
-        self.former_addresses: OrderedDict[str, WorkerAddress] = (
-            OrderedDict()
-        )  # of removed workers, oldest first
+        # Of workers that are not listed any more, the longest ago first.
+        self.former_addresses: OrderedDict[str, WorkerAddress] = OrderedDict()
         self.pools: dict[str, Pool] = {}  # by worker; created at the first request to it
 
     # ---- the endpoint list ----
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -82,6 +82,13 @@
         self.answer(client)
         self.assert_freed()
 
+    def test_a_job_whose_worker_was_silent_is_freed(self) -> None:
+        self.begin()
+        client, _ = self.send_job()
+        self.wait(600)  # its time for a first answer, and for the job's useful end
+        self.assertEqual(503, self.answer(client).status)
+        self.assert_freed()
+
     def test_a_job_whose_client_has_left_is_freed(self) -> None:
         self.begin()
         client, worker = self.send_job()
