--- a/elderstall/net/upstream/transport.py
+++ b/elderstall/net/upstream/transport.py
@@ -14,10 +14,10 @@
 from elderstall.log import Log
 from elderstall.messages import JobRequest, Outcome
 from elderstall.net import http
-from elderstall.net.upstream.cancel_exchange import Cancel
 from elderstall.net.upstream.connection import Services, WorkerConnection
 from elderstall.net.upstream.exchange import RequestFailure
 from elderstall.net.upstream.handle import RequestHandle
+from elderstall.net.upstream.job_cancel import Cancel
 from elderstall.net.upstream.job_exchange import (
     ACCEPT_TIMEOUT_FACTOR,
     REPEATABLE_ACCEPT_TIMEOUT_FACTOR,
--- a/elderstall/simulation/upstream.py
+++ b/elderstall/simulation/upstream.py
@@ -14,7 +14,7 @@
 from elderstall.config import IDLE_TIMEOUT_FRACTION
 from elderstall.interface import Ending, Endpoint, WorkerState
 from elderstall.messages import JobRequest, Outcome
-from elderstall.net.upstream.cancel_exchange import CANCEL_TIMEOUT_MS
+from elderstall.net.upstream.job_cancel import CANCEL_TIMEOUT_MS
 from elderstall.simulation.attempt import (
     Link,
     SimulatedAttempt,
