Record a waiting job that is sent on after its client left as known to fail

A client that sends 2 MB behind a first job which waits here, and leaves, has that job sent to a worker 0.3 s later: its end stands behind what is unread, and no answer has gone out that its system could answer with a reset.

--- a/tests/test_client_departure.py
+++ b/tests/test_client_departure.py
@@ -221,6 +221,20 @@
         self.call_back("first")
         self.assert_no_attempt()
 
+    def test_a_waiting_job_is_not_sent_on_while_its_clients_end_is_out_of_sight(self) -> None:
+        """As above for the first job, which waits here: see KNOWN-RED.txt."""
+        self.begin()
+        self.occupy()
+        client = self.send_job()
+        client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, MUCH_BYTES)
+        with contextlib.suppress(BlockingIOError):
+            client.send(b"x" * (10 * MUCH_BYTES))
+        self.turn()
+        client.sock.close()
+        self.wait(300)
+        self.call_back("first")
+        self.assert_no_attempt()
+
     def test_request_and_end_are_read_together(self) -> None:
         self.begin()
         client = self.client()
